--- /dev/null
+++ b/crates/wirehost/src/start.rs
@@ -0,0 +1,146 @@
+//! Reads the settings of a `Boot` into what a router is told at its start. Unknown keys are skipped.
+
+use crate::wire::{Fields, flag, number, span, text, whole};
+use chalkhall::interface::{
+    Category, ColdStart, Customer, Deployment, Effect, Group, Hints, Siblings, Telling,
+};
+use serde_json::Value;
+
+fn part(options: &Fields, name: &str) -> Result<Fields, String> {
+    match options.get(name) {
+        None | Some(Value::Null) => Ok(Fields::new()),
+        Some(Value::Object(found)) => Ok(found.clone()),
+        Some(_) => Err(format!("{name} is not an object")),
+    }
+}
+
+fn list<'a>(options: &'a Fields, name: &str) -> Result<&'a [Value], String> {
+    match options.get(name) {
+        None | Some(Value::Null) => Ok(&[]),
+        Some(Value::Array(found)) => Ok(found),
+        Some(_) => Err(format!("{name} is not an array")),
+    }
+}
+
+fn numbers(options: &Fields, name: &str) -> Result<Vec<f64>, String> {
+    let wrong = || format!("{name} holds something that is not a number");
+    list(options, name)?.iter().map(|v| v.as_f64().ok_or_else(wrong)).collect()
+}
+
+fn objects(options: &Fields, name: &str) -> Result<Vec<Fields>, String> {
+    let wrong = || format!("{name} holds something that is not an object");
+    list(options, name)?.iter().map(|v| v.as_object().cloned().ok_or_else(wrong)).collect()
+}
+
+pub fn report_fields(options: &Fields) -> Vec<String> {
+    let names = options.get("Feedback").and_then(|f| f.get("Fields")).and_then(Value::as_array);
+    names.into_iter().flatten().map(|v| v.as_str().unwrap_or("").to_owned()).collect()
+}
+
+fn category(i: usize, class: &Fields, family: &Fields) -> Result<Category, String> {
+    let by_class = |name| Ok::<_, String>(numbers(family, name)?.get(i).copied().unwrap_or(0.0));
+    let marked = |name| list(family, name).map(|l| l.get(i).and_then(Value::as_bool).unwrap_or(false));
+    let fresh = by_class("ClassFresh")?;
+    Ok(Category {
+        effect: match text(class, "Effect")? {
+            "pure" => Effect::Idempotent,
+            "token" => Effect::Deduplicated,
+            "side_effect" => Effect::Unrepeatable,
+            other => return Err(format!("unknown Effect {other:?}")),
+        },
+        group: match text(class, "Group")? {
+            "zone" => Group::Location,
+            "cell" => Group::Cohort,
+            "all" | "" => Group::All,
+            other => return Err(format!("unknown Group {other:?}")),
+        },
+        window: span(number(class, "Window")?),
+        soft_limit: span(number(class, "Aim")?),
+        soft_stretch: number(class, "AimStretch")?,
+        hard_limit: span(number(class, "HardLimit")?),
+        benefit: number(class, "Worth")?,
+        late_benefit: number(class, "LateWorth")?,
+        fresh: (fresh > 0.0).then(|| span(fresh)),
+        stale_for: span(by_class("StaleFor")?),
+        stale_benefit: by_class("StaleEarns")?,
+        cacheable: !marked("ClassWrite")?,
+        in_parts: marked("Segmented")?,
+        streamed: flag(class, "Stream")?,
+    })
+}
+
+pub fn deployment(options: &Fields) -> Result<Deployment, String> {
+    let family = part(options, "FamilyInfo")?;
+    let limits = part(options, "Limits")?;
+    let rules = part(options, "Obligations")?;
+    let classes = objects(options, "Classes")?;
+    let model = |name: &str| family.get(name).and_then(Value::as_i64).and_then(|k| usize::try_from(k).ok());
+    let span_of = |from: &Fields, name: &str| number(from, name).map(span);
+    let count_all = |name| Ok::<_, String>(numbers(&family, name)?.iter().map(|n| *n as usize).collect());
+    let fall = span_of(&rules, "Fall")?;
+    Ok(Deployment {
+        number: whole(options, "MyNumber")?,
+        routers: whole(options, "PeersTotal")? as usize,
+        location: whole(options, "Locality")? as usize,
+        routers_at: count_all("CrewByZone")?,
+        hub_of: count_all("HomeHub")?,
+        link_kb_per_s: numbers(&family, "PipeKbPerS")?,
+        categories: classes
+            .iter()
+            .enumerate()
+            .map(|(i, class)| category(i, class, &family))
+            .collect::<Result<_, _>>()?,
+        customers: objects(options, "Tenants")?
+            .iter()
+            .map(|t| Ok(Customer { per_second: number(t, "QuotaPerS")?, share: number(t, "Share")? }))
+            .collect::<Result<_, String>>()?,
+        tick: span_of(options, "Granularity")?,
+        parent_model: model("ShieldKind"),
+        origin_model: model("SourceKind"),
+        client_kb_per_s: number(&family, "ClientKbPerS")?,
+        max_executions: whole(&limits, "MaxAttempts")? as usize,
+        second_copies: flag(&limits, "SecondCopies")?,
+        may_cancel: flag(&limits, "MayCancel")?,
+        may_probe: flag(&limits, "MayProbe")?,
+        may_tell: flag(&limits, "PeerMessages")?,
+        longest_advice: flag(&limits, "RetryAfter")?
+            .then(|| span_of(&limits, "MaxRetryAfter"))
+            .transpose()?,
+        cold_cache: ColdStart {
+            from: number(&rules, "ColdFrom")?,
+            warm_within: span_of(&rules, "WarmWithin")?,
+            multiple: number(&rules, "TipMultiple")?,
+            span: fall,
+        },
+        cold_parent: ColdStart {
+            from: number(&family, "ParentFloor")?,
+            warm_within: span_of(&family, "ParentRamp")?,
+            multiple: number(&family, "ParentFallMultiple")?,
+            span: fall,
+        },
+        drain_grace: span_of(&rules, "DrainGrace")?,
+        purge_grace: span_of(&family, "ObeyAfter")?,
+        purge_done: span_of(&family, "PurgeDone")?,
+        fills: !family.is_empty(),
+        pass_through: flag(&family, "PassThroughOk")?,
+        joins: flag(&family, "SharesFills")?,
+        siblings: match text(&family, "Neighbours")? {
+            "location" => Siblings::Location,
+            "any" => Siblings::Any,
+            _ => Siblings::None,
+        },
+        telling: match text(&family, "Says")? {
+            "all" => Telling::All,
+            "hit" => Telling::Hits,
+            _ => Telling::Nothing,
+        },
+        hints: match text(options, "Weights")? {
+            "nominal" => Hints::Nominal,
+            "rough" => Hints::Rough,
+            "live" => Hints::Live,
+            _ => Hints::None,
+        },
+        list_on_request: text(options, "RegistryMode")? == "ask",
+        ask_within: span_of(&rules, "AskWithin")?,
+    })
+}
--- /dev/null
+++ b/crates/wirehost/src/wire.rs
@@ -0,0 +1,344 @@
+//! Batches in, replies out: every event becomes a call on its router, every answer of a router a line.
+
+use crate::start;
+use chalkhall::control::Router;
+use chalkhall::interface::{
+    Arrival, Ended, Fill, Id, ListKind, Load, Member, Outcome, Outlet, Remark, Standing,
+};
+use serde_json::{Map, Value, json};
+use std::collections::HashMap;
+use std::io::{BufRead, Write};
+use std::time::Duration;
+
+pub type Fields = Map<String, Value>;
+
+/// Milliseconds on the wire, spans inside.
+pub fn span(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
+}
+
+fn ms(span: Duration) -> f64 {
+    span.as_nanos() as f64 / 1e6
+}
+
+pub fn number(fields: &Fields, name: &str) -> Result<f64, String> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(0.0),
+        Some(v) => v.as_f64().ok_or_else(|| format!("{name} is not a number")),
+    }
+}
+
+pub fn whole(fields: &Fields, name: &str) -> Result<u64, String> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(0),
+        Some(v) => v
+            .as_u64()
+            .or_else(|| v.as_f64().filter(|f| *f >= 0.0 && f.fract() == 0.0).map(|f| f as u64))
+            .ok_or_else(|| format!("{name} is not a whole number")),
+    }
+}
+
+pub fn flag(fields: &Fields, name: &str) -> Result<bool, String> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(v) => v.as_bool().ok_or_else(|| format!("{name} is not true or false")),
+    }
+}
+
+pub fn text<'a>(fields: &'a Fields, name: &str) -> Result<&'a str, String> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(""),
+        Some(v) => v.as_str().ok_or_else(|| format!("{name} is not a text")),
+    }
+}
+
+fn id(fields: &Fields, name: &str) -> Result<Id, String> {
+    match text(fields, name)? {
+        "" => Err(format!("{name} is missing")),
+        found => Ok(found.into()),
+    }
+}
+
+/// Writes a router's answers as lines of the reply.
+struct Lines<'a, W: Write> {
+    router: u64,
+    output: &'a mut W,
+    failed: Option<String>,
+}
+
+impl<W: Write> Lines<'_, W> {
+    fn put(&mut self, name: &str, mut fields: Value) {
+        fields["Router"] = self.router.into();
+        if let Err(e) = writeln!(self.output, "{}", json!({ name: fields })) {
+            self.failed = Some(format!("standard output: {e}"));
+        }
+    }
+}
+
+impl<W: Write> Outlet for Lines<'_, W> {
+    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: Option<&Fill>) {
+        let mut fields = json!({"OpId": &**access, "Server": &**server, "GiveUpAfter": ms(limit)});
+        let Some(fill) = fill else { return self.put("HandOff", fields) };
+        let manner = u8::from(fill.join)
+            | u8::from(fill.only_held) << 1
+            | u8::from(!fill.parent_keeps) << 2
+            | u8::from(fill.renew) << 3;
+        fields["Source"] = (*fill.source).into();
+        fields["Rank"] = fill.rank.into();
+        fields["Manner"] = manner.into();
+        if let Some(oldest) = fill.oldest {
+            fields["HowOld"] = ms(oldest).into();
+        }
+        self.put("ServeOrFill", fields);
+    }
+
+    fn decline(&mut self, access: &Id, advice: Option<Duration>) {
+        self.put("Refuse", json!({"OpId": &**access, "HoldOff": advice.map_or(0.0, ms)}));
+    }
+
+    fn give_up(&mut self, access: &Id) {
+        self.put("FinishError", json!({"OpId": &**access}));
+    }
+
+    fn cancel(&mut self, access: &Id, execution: usize) {
+        self.put("CallOff", json!({"OpId": &**access, "N": execution}));
+    }
+
+    fn wake_at(&mut self, at: Duration, mark: u64) {
+        self.put("NotifyMe", json!({"When": ms(at), "Mark": mark}));
+    }
+
+    fn probe(&mut self, server: &Id) {
+        self.put("AskLoad", json!({"Server": &**server}));
+    }
+
+    fn tell(&mut self, router: Option<u64>, text: &[u8]) {
+        let data: String = text.iter().map(|b| format!("{b:02x}")).collect();
+        self.put("MemoTo", json!({"Peer": router.map_or(-1, |r| r as i64), "Data": data}));
+    }
+
+    fn watch_list(&mut self) {
+        self.put("Listen", json!({"Enable": true}));
+    }
+
+    fn log(&mut self, text: &str) {
+        self.put("SayLog", json!({"Message": text}));
+    }
+}
+
+fn member(entry: &Value) -> Result<Member, String> {
+    let f = entry.as_object().ok_or("an entry of Members is not an object")?;
+    let started = number(f, "LastStart")?;
+    Ok(Member {
+        server: id(f, "Server")?,
+        location: whole(f, "Area")? as usize,
+        model: whole(f, "Sku")? as usize,
+        cohort: whole(f, "Cohort")?,
+        standing: match text(f, "Mode")? {
+            "active" => Standing::Active,
+            "leaving" => Standing::Draining,
+            "left" => Standing::Gone,
+            other => return Err(format!("unknown Mode {other:?}")),
+        },
+        capacity: number(f, "CapacityHint")?,
+        started: (started > 0.0).then(|| span(started)),
+    })
+}
+
+fn outcome(code: &str) -> Result<Outcome, String> {
+    Ok(match code {
+        "OK" => Outcome::Honoured,
+        "INTERNAL" => Outcome::Error,
+        "RESOURCE_EXHAUSTED" => Outcome::Full,
+        "DEADLINE_EXCEEDED" => Outcome::TimedOut,
+        "UNAVAILABLE" => Outcome::Unreachable,
+        "ABORTED" => Outcome::Broken,
+        "CANCELLED" => Outcome::Cancelled,
+        "TOO_LATE" => Outcome::NeverSent,
+        "NOT_FOUND" => Outcome::Missing,
+        other => return Err(format!("unknown StateCode {other:?}")),
+    })
+}
+
+fn remark(code: u64) -> Remark {
+    match code {
+        1 => Remark::Hit,
+        2 => Remark::Filled,
+        3 => Remark::FilledByOrigin,
+        4 => Remark::Joined,
+        5 => Remark::Stale,
+        6 => Remark::SourceRefused,
+        7 => Remark::SourceUnreached,
+        8 => Remark::SourceLacks,
+        9 => Remark::NoFillPlace,
+        10 => Remark::OriginFailed,
+        _ => Remark::None,
+    }
+}
+
+/// One router, and the names of the values in the load reports it gets.
+struct Hosted {
+    router: Router,
+    report: Vec<String>,
+}
+
+impl Hosted {
+    fn load(&self, fields: &Fields) -> Result<Load, String> {
+        let mut load = Load::default();
+        let Some(values) = fields.get("Metrics").filter(|v| !v.is_null()) else { return Ok(load) };
+        let values = values.as_array().ok_or("Metrics is not an array")?;
+        for (name, value) in self.report.iter().zip(values) {
+            match name.as_str() {
+                "rif" => load.in_hand = value.as_f64(),
+                "q" => load.queued = value.as_f64(),
+                "busy" => load.busy = value.as_f64(),
+                "x0" => load.hit_share = value.as_f64(),
+                "x1" => load.link = value.as_f64(),
+                _ => {}
+            }
+        }
+        Ok(load)
+    }
+
+    fn ended(&self, f: &Fields) -> Result<Ended, String> {
+        let waited = f.get("Ttfb").filter(|v| !v.is_null());
+        Ok(Ended {
+            outcome: outcome(text(f, "StateCode")?)?,
+            remark: remark(whole(f, "Remark")?),
+            took: span(number(f, "Took")?),
+            first_byte: waited.map(|_| number(f, "Ttfb").map(span)).transpose()?,
+            over: flag(f, "Last")?,
+            load: self.load(f)?,
+        })
+    }
+}
+
+/// What one process hosts: its routers, and the numbered lists that `Discovery` refers to.
+#[derive(Default)]
+struct Host {
+    now: Duration,
+    routers: HashMap<u64, Hosted>,
+    sheets: HashMap<u64, Vec<Member>>,
+}
+
+impl Host {
+    fn event(&mut self, name: &str, f: &Fields, output: &mut impl Write) -> Result<(), String> {
+        if name == "Table" {
+            let entries = f.get("Members").and_then(Value::as_array).ok_or("Members is not an array")?;
+            let entries = entries.iter().map(member).collect::<Result<_, _>>()?;
+            self.sheets.insert(whole(f, "Sheet")?, entries);
+            return Ok(());
+        }
+        if !f.contains_key("Router") {
+            return Err("Router is missing".into());
+        }
+        let number_of = whole(f, "Router")?;
+        let out = &mut Lines { router: number_of, output, failed: None };
+        let now = self.now;
+        if name == "Boot" {
+            let options = f.get("Options").and_then(Value::as_object).ok_or("Options is not an object")?;
+            let router = Router::start(now, whole(f, "Salt")?, &start::deployment(options)?, out);
+            self.routers.insert(number_of, Hosted { router, report: start::report_fields(options) });
+            return out.failed.take().map_or(Ok(()), Err);
+        }
+        let hosted =
+            self.routers.get_mut(&number_of).ok_or_else(|| format!("router {number_of} was not started"))?;
+        match name {
+            "Killed" => drop(self.routers.remove(&number_of)),
+            "Discovery" => {
+                let kind = match text(f, "How")? {
+                    "incr" => ListKind::Changes,
+                    "total" => ListKind::Whole,
+                    "warm_copy" => ListKind::Remembered,
+                    "lost" => ListKind::Failed,
+                    other => return Err(format!("unknown How {other:?}")),
+                };
+                let sheet = whole(f, "Sheet")?;
+                let entries = match self.sheets.get(&sheet) {
+                    _ if kind == ListKind::Failed => &[],
+                    Some(entries) => entries.as_slice(),
+                    None => return Err(format!("Sheet {sheet} was never given")),
+                };
+                hosted.router.list(now, kind, entries, out);
+            }
+            "Accept" => {
+                let arrival = Arrival {
+                    id: id(f, "OpId")?,
+                    category: whole(f, "Priority")? as usize,
+                    customer: whole(f, "Customer")? as usize,
+                    object: text(f, "Item")?.into(),
+                    part: whole(f, "Segment")?,
+                    group: whole(f, "SetNo")?,
+                    kb: number(f, "Kb")?,
+                    left: span(number(f, "Ttl")?),
+                    repeated: flag(f, "Repeat")?,
+                };
+                if !hosted.router.knows_category(arrival.category) {
+                    return Err(format!("Priority {} names no class", arrival.category));
+                }
+                hosted.router.access(now, arrival, out);
+            }
+            "Result" => {
+                let ended = hosted.ended(f)?;
+                hosted.router.result(now, &id(f, "OpId")?, whole(f, "N")? as usize, &ended, out);
+            }
+            "First" => hosted.router.begun(&id(f, "OpId")?, whole(f, "N")? as usize),
+            "TimedOutClient" => hosted.router.left(now, &id(f, "OpId")?, out),
+            "Timer" => hosted.router.wake(now, whole(f, "Mark")?, out),
+            "ProbeDone" => {
+                let load = hosted.load(f)?;
+                let answered = outcome(text(f, "StateCode")?)? == Outcome::Honoured;
+                hosted.router.probed(now, &id(f, "Server")?, answered, load);
+            }
+            "ExpiredNow" => {
+                let object = Some(text(f, "Item")?).filter(|item| !item.is_empty()).map(Id::from);
+                hosted.router.purged(now, object, whole(f, "FamilyId")?, span(number(f, "HowOld")?));
+            }
+            // No router tells another anything yet.
+            "Message" => {}
+            other => eprintln!("chalkhall-wirehost: unknown event {other:?} skipped"),
+        }
+        out.failed.take().map_or(Ok(()), Err)
+    }
+}
+
+/// Plays batches until input ends. An error says what was wrong, and in which line.
+pub fn run(mut input: impl BufRead, output: &mut impl Write) -> Result<(), String> {
+    let mut host = Host::default();
+    let mut turn: Option<Value> = None;
+    let mut line = String::new();
+    for at in 1u64.. {
+        line.clear();
+        let wrong = |what: String| format!("line {at}: {what}");
+        if input.read_line(&mut line).map_err(|e| wrong(format!("cannot be read: {e}")))? == 0 {
+            break;
+        }
+        if line.trim().is_empty() {
+            continue;
+        }
+        let message: Value =
+            serde_json::from_str(&line).map_err(|e| wrong(format!("not a JSON message: {e}")))?;
+        let Some((name, fields)) = message.as_object().filter(|m| m.len() == 1).and_then(|m| m.iter().next())
+        else {
+            return Err(wrong("a message must be an object with a single key".into()));
+        };
+        let fields = fields.as_object().ok_or_else(|| wrong(format!("{name} does not hold an object")))?;
+        let within = |what: String| wrong(format!("{name}: {what}"));
+        match (name.as_str(), &turn) {
+            ("Turn", None) => {
+                host.now = span(number(fields, "Ts").map_err(within)?);
+                turn = Some(fields.get("turn").cloned().ok_or_else(|| within("turn is missing".into()))?);
+            }
+            ("Turn", Some(_)) => return Err(within("the batch before it has not ended".into())),
+            (_, None) => return Err(within("no batch has begun".into())),
+            ("End", Some(number)) => {
+                writeln!(output, "{}", json!({"Eor": {"turn": number}}))
+                    .and_then(|()| output.flush())
+                    .map_err(|e| format!("standard output: {e}"))?;
+                turn = None;
+            }
+            (_, Some(_)) => host.event(name, fields, output).map_err(within)?,
+        }
+    }
+    turn.map_or(Ok(()), |number| Err(format!("input ended within batch {number}")))
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,278 @@
+//! The plain types between a front end and the decisions. Nothing is decided here.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+/// An id as the outside gave it: of an access, a cache server or an object.
+pub type Id = Rc<str>;
+
+/// What running an access twice would do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It may run again.
+    Idempotent,
+    /// It carries a mark by which a group of cache servers drops its repeats, for a while.
+    Deduplicated,
+    /// It must never run twice.
+    Unrepeatable,
+}
+
+/// Which cache servers drop the repeats of a deduplicated access that one of them has seen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Location,
+    Cohort,
+}
+
+/// One category of accesses.
+#[derive(Clone, Debug)]
+pub struct Category {
+    pub effect: Effect,
+    pub group: Group,
+    /// How long repeats are recognised, from the first execution that may have run.
+    pub window: Duration,
+    pub soft_limit: Duration,
+    /// The soft limit grows by this multiple of the access's own sending time.
+    pub soft_stretch: f64,
+    pub hard_limit: Duration,
+    pub benefit: f64,
+    /// Share of the benefit that an answer after the soft limit earns.
+    pub late_benefit: f64,
+    /// How long a copy is fresh; none: until it is purged.
+    pub fresh: Option<Duration>,
+    /// How long past that a copy may still be served, and the share of the benefit it then earns.
+    pub stale_for: Duration,
+    pub stale_benefit: f64,
+    /// False where accesses run at the origin and leave no copy.
+    pub cacheable: bool,
+    /// Objects come in parts, asked for in turn.
+    pub in_parts: bool,
+    pub streamed: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Customer {
+    pub per_second: f64,
+    pub share: f64,
+}
+
+/// The bounds within which something that has just started is not pushed over.
+#[derive(Clone, Copy, Debug)]
+pub struct ColdStart {
+    /// Share of its capacity at its start, at least.
+    pub from: f64,
+    /// It is warm after this long at most.
+    pub warm_within: Duration,
+    /// Sent more than this multiple of its present capacity...
+    pub multiple: f64,
+    /// ...for this long, it falls over.
+    pub span: Duration,
+}
+
+/// What the capacity hints in the list mean.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hints {
+    None,
+    Nominal,
+    Rough,
+    Live,
+}
+
+/// Which caches can be named as the source of a fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Siblings {
+    None,
+    Location,
+    Any,
+}
+
+/// How much the answers tell of hits and fills.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Telling {
+    Nothing,
+    Hits,
+    All,
+}
+
+/// All that a router is told of its deployment at its start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// This router's number and how many there are.
+    pub number: u64,
+    pub routers: usize,
+    pub location: usize,
+    /// By location: how many routers serve it; the hub it is tied to; what its link carries (0: not told).
+    pub routers_at: Vec<usize>,
+    pub hub_of: Vec<usize>,
+    pub link_kb_per_s: Vec<f64>,
+    pub categories: Vec<Category>,
+    pub customers: Vec<Customer>,
+    /// Least time between two calls.
+    pub tick: Duration,
+    /// The models that are parents and origin; none: there are none.
+    pub parent_model: Option<usize>,
+    pub origin_model: Option<usize>,
+    /// Top pace of one answer: the unit of capacity.
+    pub client_kb_per_s: f64,
+    pub max_executions: usize,
+    pub second_copies: bool,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub may_tell: bool,
+    /// The longest wait that clients heed after a decline; none: they are not told.
+    pub longest_advice: Option<Duration>,
+    pub cold_cache: ColdStart,
+    pub cold_parent: ColdStart,
+    pub drain_grace: Duration,
+    pub purge_grace: Duration,
+    /// No older copy is left anywhere after this long.
+    pub purge_done: Duration,
+    /// There are fills, sources and ranks at all; otherwise executions name a cache server only.
+    pub fills: bool,
+    /// Parents and origin take executions too.
+    pub pass_through: bool,
+    pub joins: bool,
+    pub siblings: Siblings,
+    pub telling: Telling,
+    pub hints: Hints,
+    /// The list comes only to those who ask, and counts as told after this long without asking.
+    pub list_on_request: bool,
+    pub ask_within: Duration,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Active,
+    Draining,
+    Gone,
+}
+
+/// One entry of the list of cache servers, parents and origin.
+#[derive(Clone, Debug)]
+pub struct Member {
+    pub server: Id,
+    pub location: usize,
+    pub model: usize,
+    pub cohort: u64,
+    pub standing: Standing,
+    pub capacity: f64,
+    /// When it last started; none: long ago.
+    pub started: Option<Duration>,
+}
+
+/// What a list says: the entries that changed, the whole, the whole as last seen, or that a call failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    Changes,
+    Whole,
+    Remembered,
+    Failed,
+}
+
+/// An access as it comes in.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub id: Id,
+    pub category: usize,
+    pub customer: usize,
+    pub object: Id,
+    pub part: u64,
+    pub group: u64,
+    pub kb: f64,
+    /// The client's own time.
+    pub left: Duration,
+    /// The client says that it asks again.
+    pub repeated: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Honoured,
+    /// The server answered with an error; it may have run.
+    Error,
+    /// Turned away unseen, or its source refused: did not run.
+    Full,
+    TimedOut,
+    /// No connection: did not run.
+    Unreachable,
+    /// The connection broke; it may have run.
+    Broken,
+    Cancelled,
+    /// It never left: did not run.
+    NeverSent,
+    /// Nothing suitable held there: did not run.
+    Missing,
+}
+
+/// What an answer tells of the copy or the fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Remark {
+    None,
+    Hit,
+    Filled,
+    FilledByOrigin,
+    Joined,
+    Stale,
+    SourceRefused,
+    SourceUnreached,
+    SourceLacks,
+    NoFillPlace,
+    OriginFailed,
+}
+
+/// A load report; what is not told is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    pub in_hand: Option<f64>,
+    pub queued: Option<f64>,
+    pub busy: Option<f64>,
+    pub hit_share: Option<f64>,
+    /// At a cache: how full its location's link is; at a parent: fetches out.
+    pub link: Option<f64>,
+}
+
+/// How an execution ended.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub outcome: Outcome,
+    pub remark: Remark,
+    pub took: Duration,
+    /// Time to the source's first byte, or to its failure, where told.
+    pub first_byte: Option<Duration>,
+    /// The access is over: nothing is owed for it any more.
+    pub over: bool,
+    pub load: Load,
+}
+
+/// Orders for a miss.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Fill {
+    pub source: Id,
+    /// 0: no copy, no change; 1 to 3: the rank at which a copy is kept.
+    pub rank: u8,
+    /// Oldest copy that will do; none: as fresh as the category wants it. Never zero.
+    pub oldest: Option<Duration>,
+    pub join: bool,
+    /// The source gives only what it holds.
+    pub only_held: bool,
+    pub parent_keeps: bool,
+    pub renew: bool,
+}
+
+/// Through this a router acts. Each call takes effect at once, in the order made.
+pub trait Outlet {
+    /// One execution, for at most `limit`; with no fill, the server is asked for what it holds.
+    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: Option<&Fill>);
+    /// Final answer: declined. Assures the client that trying again is safe.
+    fn decline(&mut self, access: &Id, advice: Option<Duration>);
+    /// Final answer: given up. Assures nothing.
+    fn give_up(&mut self, access: &Id);
+    fn cancel(&mut self, access: &Id, execution: usize);
+    /// Asks for a call of `wake` with this mark at or after `at`.
+    fn wake_at(&mut self, at: Duration, mark: u64);
+    fn probe(&mut self, server: &Id);
+    fn tell(&mut self, router: Option<u64>, text: &[u8]);
+    fn watch_list(&mut self);
+    fn log(&mut self, text: &str);
+}
