--- a/src/control.rs
+++ b/src/control.rs
@@ -498,7 +498,9 @@
             }
         }
         if let Some(cache) = self.pick(now, Tier::Cache, access) {
-            let source = if self.fills { source() } else { None };
+            // With no source left the cache itself is named: a plain send would bear no age, and could be
+            // answered from a copy older than a purge.
+            let source = self.fills.then(|| source().unwrap_or_else(|| name(cache)));
             return Some(Route { server: name(cache), source });
         }
         // No cache left: straight to a parent or the origin.
