--- a/src/control.rs
+++ b/src/control.rs
@@ -644,7 +644,7 @@
         let left = access.due.saturating_sub(now);
         let category = &self.categories[access.arrival.category];
         let usual = OVERHEAD + access.work;
-        let patient = usual.mul_f64(self.stretch.0 + 4.0 * self.stretch.1);
+        let patient = usual.mul_f64(self.stretch.0 + 4.0 * self.stretch.1) + left;
         let last = access.executions.len() + 1 >= self.most_executions || self.spare < 1.0;
         if category.effect != Effect::Idempotent || category.streamed || last || patient + usual > left {
             return left;
