--- a/src/control.rs
+++ b/src/control.rs
@@ -478,8 +478,8 @@
         let open: Vec<_> = members.into_iter().filter(|s| self.may_take(now, s, access)).collect();
         let average = open.iter().map(|s| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
         let fails = |s: &&&Server| access.failed.contains(&s.member.server);
-        // While its link carries all it holds at full pace, moving on would cost a miss and gain nothing.
-        let filled = |s: &Server| s.under_way as f64 >= s.member.capacity;
+        // While its link serves all it holds at half pace or better, moving on would cost a miss and gain little.
+        let filled = |s: &Server| s.under_way as f64 >= 2.0 * s.member.capacity;
         let crowded = |s: &&&Server| s.kb_under_way > CROWDED * average && filled(s);
         let sound = || open.iter().filter(|s| !fails(s) && s.sound(now));
         sound().find(|s| !crowded(s)).or(sound().next()).or(open.iter().find(|s| !fails(s))).copied()
