Limit the fills under way, adapting to lateness; excess waits or is declined

Told from a bad parent or cache: hits stay quick, all fills of one location are slow alike. Change: likely fills (no copy known to be kept) are counted; one more allowed for as many as end in time, a cut when one ends late; the excess waits while it can still be in time, most benefit for the work first, then is declined. Should also catch slow parents, a slow origin and cold successors; may hurt where lateness comes from single large objects.

--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,11 @@
 const SPARE_PER_ACCESS: f64 = 0.2;
 const SPARE_MOST: f64 = 40.0;
 
+/// Fills that may be under way: one more for as many as end in time, a cut when one ends late.
+const FILL_CUT: f64 = 0.9;
+const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
+const FILLS_LEAST: f64 = 2.0;
+
 /// What a router still says to itself when a time comes, and what it makes of an execution's end.
 type Then = Box<dyn FnOnce(&mut Router, &mut Turn)>;
 type Next = Box<dyn FnOnce(&mut Router, &mut Turn, &Ended)>;
@@ -87,6 +92,8 @@
     cost: Option<f64>,
     /// It was last sent to be kept.
     kept: bool,
+    /// A cache answered from a copy, or was told to keep one, and nothing since spoke against it.
+    held: bool,
     /// Its access was not honoured: the client's own retry is no new sighting.
     unmet: bool,
     rank: u8,
@@ -109,7 +116,15 @@
         let key = (arrival.object.clone(), arrival.part);
         let accesses = self.accesses;
         let Some(seen) = self.seen.get_mut(&key) else {
-            let first = Seen { count: accesses, at: now, cost: None, kept: false, unmet: false, rank: 0 };
+            let first = Seen {
+                count: accesses,
+                at: now,
+                cost: None,
+                kept: false,
+                held: false,
+                unmet: false,
+                rank: 0,
+            };
             self.seen.put(key, first);
             return 0;
         };
@@ -151,6 +166,10 @@
         }
     }
 
+    fn held(&mut self, arrival: &Arrival) -> Option<&mut bool> {
+        self.seen.peek_mut(&(arrival.object.clone(), arrival.part)).map(|seen| &mut seen.held)
+    }
+
     fn unmet(&mut self, arrival: &Arrival) {
         if let Some(seen) = self.seen.peek_mut(&(arrival.object.clone(), arrival.part)) {
             seen.unmet = true;
@@ -236,8 +255,11 @@
     rank: u8,
     /// Its sending time at the client's pace.
     work: Duration,
+    soft: Duration,
     /// The final answer goes out by then.
     due: Duration,
+    /// It waits for its turn to be filled.
+    waits: bool,
     executions: Vec<Execution>,
     open: usize,
     begun: bool,
@@ -287,6 +309,11 @@
     /// How far answers stretch beyond their sending time: mean and deviation.
     stretch: (f64, f64),
     spare: f64,
+    /// Executions out that are likely to be fills, how many may be, when that was last cut, who waits.
+    fills_out: f64,
+    fills_most: f64,
+    fills_cut: Duration,
+    waiting: Vec<Id>,
 }
 
 impl Router {
@@ -329,6 +356,10 @@
             mean_work: vec![(0.0, 0.0); told.categories.len()],
             stretch: STRETCH_GUESS,
             spare: SPARE_MOST,
+            fills_out: 0.0,
+            fills_most: 0.0,
+            fills_cut: now,
+            waiting: Vec::new(),
         };
         if router.must_ask {
             out.watch_list();
@@ -364,6 +395,12 @@
             }
             server.member = member.clone();
         }
+        if self.fills_most == 0.0 {
+            let here =
+                self.servers.values().filter(|s| s.tier == Tier::Cache && s.member.location == self.location);
+            self.fills_most =
+                (here.map(|s| s.member.capacity).sum::<f64>() / self.routers_here).max(FILLS_LEAST);
+        }
         let done = |s: &Server| s.member.standing == Standing::Gone && s.under_way == 0;
         self.servers.retain(|_, s| !done(s));
     }
@@ -378,10 +415,12 @@
         *of = (*of + 1.0).min(256.0);
         *mean += (work.as_secs_f64() - *mean) / *of;
         let due = now + arrival.left.saturating_sub(self.margin);
+        let soft = now + category.soft_limit + work.mul_f64(category.soft_stretch);
         let id = arrival.id.clone();
         let (executions, failed) = (Vec::new(), Vec::new());
-        let (open, begun, ended, ran) = (0, false, false, None);
-        let access = Access { arrival, rank, work, due, executions, open, begun, ended, ran, failed };
+        let (open, waits, begun, ended, ran) = (0, false, false, false, None);
+        let access =
+            Access { arrival, rank, work, soft, due, waits, executions, open, begun, ended, ran, failed };
         self.accesses.insert(id.clone(), access);
         self.spare = (self.spare + SPARE_PER_ACCESS).min(SPARE_MOST);
         let overdue = id.clone();
@@ -450,12 +489,66 @@
 
     /// The next execution of an access, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
+        if self.fills_out >= self.fills_most && self.likely_fill(id) {
+            return self.hold(turn, id);
+        }
         let sent = self.route(turn.now, id).is_some_and(|route| self.send(turn, id, route));
         if !sent && self.accesses.get(id).is_some_and(|a| a.open == 0) {
             self.end(turn, id);
         }
     }
 
+    /// No cache is known to hold it: it would go through the location's link.
+    fn likely_fill(&mut self, id: &Id) -> bool {
+        let Some(access) = self.accesses.get(id) else { return false };
+        let cacheable = self.fills && self.categories[access.arrival.category].cacheable;
+        cacheable && !self.ids.held(&access.arrival).is_some_and(|held| *held)
+    }
+
+    /// More fills than the links and sources end in time make every one of them late, and what times out
+    /// has used them for nothing. So a fill too many waits, as long as it could still be in time after.
+    fn hold(&mut self, turn: &mut Turn, id: &Id) {
+        let Some(access) = self.accesses.get_mut(id) else { return };
+        let latest = access.soft.min(access.due).saturating_sub(OVERHEAD + access.work);
+        if turn.now >= latest {
+            return self.end(turn, id);
+        }
+        access.waits = true;
+        self.waiting.push(id.clone());
+        let (id, wait) = (id.clone(), latest - turn.now);
+        let too_late = move |router: &mut Router, turn: &mut Turn| {
+            if router.accesses.get(&id).is_some_and(|a| a.waits) {
+                router.end(turn, &id);
+            }
+        };
+        self.after(turn, wait, Box::new(too_late));
+    }
+
+    /// A fill ended: how many may be under way follows, and those that wait go, most benefit for the work first.
+    fn fill_ended(&mut self, turn: &mut Turn, in_time: bool) {
+        self.fills_out -= 1.0;
+        if in_time {
+            self.fills_most += 1.0 / self.fills_most;
+        } else if turn.now >= self.fills_cut + FILL_CUT_EVERY {
+            self.fills_most = (self.fills_most * FILL_CUT).max(FILLS_LEAST);
+            self.fills_cut = turn.now;
+        }
+        while self.fills_out < self.fills_most {
+            let (accesses, categories) = (&self.accesses, &self.categories);
+            self.waiting.retain(|id| accesses.get(id).is_some_and(|a| a.waits && !a.ended));
+            let gain = |id: &Id| {
+                let a = &accesses[id];
+                categories[a.arrival.category].benefit / (OVERHEAD + a.work).as_secs_f64()
+            };
+            let best = (0..self.waiting.len())
+                .max_by(|a, b| gain(&self.waiting[*a]).total_cmp(&gain(&self.waiting[*b])));
+            let Some(best) = best else { return };
+            let id = self.waiting.remove(best);
+            self.accesses.get_mut(&id).into_iter().for_each(|a| a.waits = false);
+            self.advance(turn, &id);
+        }
+    }
+
     // ---- Where to ----
 
     /// Members of a tier in the order in which the hash of an object prefers them: each member draws its own
@@ -626,12 +719,21 @@
                 trickle.due = now + trickle.spacing;
             }
         }
+        let filling = self.likely_fill(id);
+        self.fills_out += f64::from(u8::from(filling));
         let Some(access) = self.accesses.get_mut(id) else { return false };
         turn.out.execute(id, &route.server, limit, fill.as_ref());
         access.open += 1;
         let id = id.clone();
         let next: Next = Box::new(move |router, turn, ended| {
             router.learn(now, turn.now, &id, &route, ended);
+            if filling {
+                let soft = router
+                    .accesses
+                    .get(&id)
+                    .is_none_or(|a| turn.now <= a.soft.max(now + OVERHEAD + a.work * 2));
+                router.fill_ended(turn, soft && ended.outcome != Outcome::TimedOut);
+            }
             router.follow(turn, &id, &route, now, ended);
         });
         access.executions.push(Execution { next: Some(next), called_off: false });
@@ -683,6 +785,10 @@
                 server.judge(now, failed, weight);
             }
         }
+        if ended.outcome == Honoured {
+            let rank = access.rank;
+            self.ids.held(&access.arrival).into_iter().for_each(|held| *held = hit || rank > 0);
+        }
         // A fill that was not needed never reached its source.
         if let Some(server) = source.as_ref().filter(|_| hit).and_then(|s| self.servers.get_mut(s)) {
             let weight = work.as_secs_f64();
