--- a/src/control.rs
+++ b/src/control.rs
@@ -728,11 +728,9 @@
         let next: Next = Box::new(move |router, turn, ended| {
             router.learn(now, turn.now, &id, &route, ended);
             if filling {
-                let soft = router
-                    .accesses
-                    .get(&id)
-                    .is_none_or(|a| turn.now <= a.soft.max(now + OVERHEAD + a.work * 2));
-                router.fill_ended(turn, soft && ended.outcome != Outcome::TimedOut);
+                let soft =
+                    router.accesses.get(&id).map_or(turn.now, |a| a.soft.max(now + (OVERHEAD + a.work) * 2));
+                router.fill_ended(turn, ended.outcome == Outcome::Honoured && turn.now <= soft);
             }
             router.follow(turn, &id, &route, now, ended);
         });
