Sequential test relative to what is usual in the tier

Cause: an origin or a parent in trouble fails the fills of all caches alike; each was set aside in turn and its objects moved to caches without copies.

--- a/src/control.rs
+++ b/src/control.rs
@@ -214,10 +214,13 @@
         self.aside.as_ref().is_none_or(|trickle| now >= trickle.due)
     }
 
-    /// One step of the sequential test; `weight` is how much of the failure is laid to this server.
-    fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
-        let step =
-            if failed { BROKEN_FAILS / SOUND_FAILS } else { (1.0 - BROKEN_FAILS) / (1.0 - SOUND_FAILS) };
+    /// One step of the sequential test, against what is usual in its tier: a trouble that strikes all alike
+    /// lies behind them, and setting them aside would only scatter the objects over caches without copies.
+    /// `weight` is how much of the outcome is laid to this server.
+    fn judge(&mut self, now: Duration, failed: bool, weight: f64, usual: f64) {
+        let sound = usual.clamp(SOUND_FAILS, 0.95);
+        let broken = BROKEN_FAILS.max((1.0 + sound) / 2.0);
+        let step = if failed { broken / sound } else { (1.0 - broken) / (1.0 - sound) };
         self.doubt = (self.doubt + weight * step.ln()).clamp(0.0, DECIDING_ODDS.ln());
         match &mut self.aside {
             None if self.doubt >= DECIDING_ODDS.ln() => {
@@ -309,6 +312,8 @@
     /// How far answers stretch beyond their sending time: mean and deviation.
     stretch: (f64, f64),
     spare: f64,
+    /// By tier: share of outcomes that are failures, lately.
+    usual_fails: [f64; 3],
     /// Executions out that are likely to be fills, how many may be, when that was last cut, who waits.
     fills_out: f64,
     fills_most: f64,
@@ -356,6 +361,7 @@
             mean_work: vec![(0.0, 0.0); told.categories.len()],
             stretch: STRETCH_GUESS,
             spare: SPARE_MOST,
+            usual_fails: [0.0; 3],
             fills_out: 0.0,
             fills_most: 0.0,
             fills_cut: now,
@@ -726,7 +732,7 @@
         access.open += 1;
         let id = id.clone();
         let next: Next = Box::new(move |router, turn, ended| {
-            router.learn(now, turn.now, &id, &route, ended);
+            router.learn(now, turn.now, &id, &route, filling, ended);
             if filling {
                 let soft =
                     router.accesses.get(&id).map_or(turn.now, |a| a.soft.max(now + (OVERHEAD + a.work) * 2));
@@ -755,7 +761,7 @@
     // ---- What follows ----
 
     /// What the end of an execution says of its server and its source.
-    fn learn(&mut self, sent: Duration, now: Duration, id: &Id, route: &Route, ended: &Ended) {
+    fn learn(&mut self, sent: Duration, now: Duration, id: &Id, route: &Route, filling: bool, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
         let (kb, work) = (access.arrival.kb, access.work);
@@ -772,15 +778,17 @@
             (Honoured, _) => (Some((false, 1.0)), (!hit).then_some((false, 1.0))),
             (_, Remark::SourceRefused | Remark::NoFillPlace | Remark::SourceLacks) => (None, None),
             (_, Remark::SourceUnreached | Remark::OriginFailed) => (None, Some((true, 1.0))),
-            (Error | Unreachable | Broken, _) => (Some((true, 1.0)), None),
-            (TimedOut, _) if source.is_none() => (Some((true, 1.0)), None),
-            (TimedOut, _) => (Some((true, 0.5)), Some((true, 0.5))),
+            (Unreachable | Broken, _) => (Some((true, 1.0)), None),
+            (Error | TimedOut, _) if source.is_none() || !filling => (Some((true, 1.0)), None),
+            (Error | TimedOut, _) => (Some((true, 0.5)), Some((true, 0.5))),
             (Full | Cancelled | NeverSent | Missing, _) => (None, None),
         };
         for (name, verdict) in [(Some(&route.server), cache), (source.as_ref(), fill)] {
             let server = name.and_then(|name| self.servers.get_mut(name));
             if let (Some(server), Some((failed, weight))) = (server, verdict) {
-                server.judge(now, failed, weight);
+                let usual = &mut self.usual_fails[server.tier as usize];
+                server.judge(now, failed, weight, *usual);
+                *usual += (f64::from(u8::from(failed)) - *usual) * weight / 32.0;
             }
         }
         if ended.outcome == Honoured {
