--- a/src/control.rs
+++ b/src/control.rs
@@ -202,12 +202,23 @@
     /// Log odds that it is broken.
     doubt: f64,
     aside: Option<Trickle>,
+    /// When it last showed that it is there.
+    heard: Duration,
 }
 
 impl Server {
     fn new(member: Member, tier: Tier) -> Server {
         let sent = VecDeque::new();
-        Server { member, tier, sent, kb_under_way: 0.0, under_way: 0, doubt: 0.0, aside: None }
+        Server {
+            member,
+            tier,
+            sent,
+            kb_under_way: 0.0,
+            under_way: 0,
+            doubt: 0.0,
+            aside: None,
+            heard: Duration::ZERO,
+        }
     }
 
     fn sound(&self, now: Duration) -> bool {
@@ -698,7 +709,9 @@
         if !lawful {
             return false;
         }
-        let limit = self.patience(now, access);
+        let limit = access.due.saturating_sub(now);
+        let watched = self.may_cancel && category.effect == Effect::Idempotent && !category.streamed;
+        let patience = (OVERHEAD + access.work).mul_f64(self.stretch.0 + 4.0 * self.stretch.1);
         let fill = route.source.clone().map(|source| Fill {
             source,
             rank: if server.tier == Tier::Cache { access.rank } else { 0 },
@@ -730,7 +743,8 @@
         let Some(access) = self.accesses.get_mut(id) else { return false };
         turn.out.execute(id, &route.server, limit, fill.as_ref());
         access.open += 1;
-        let id = id.clone();
+        let (n, id) = (access.executions.len(), id.clone());
+        let (watched_id, watched_route) = (id.clone(), route.clone());
         let next: Next = Box::new(move |router, turn, ended| {
             router.learn(now, turn.now, &id, &route, filling, ended);
             if filling {
@@ -741,21 +755,29 @@
             router.follow(turn, &id, &route, now, ended);
         });
         access.executions.push(Execution { next: Some(next), called_off: false });
+        if watched {
+            let check = move |router: &mut Router, turn: &mut Turn| {
+                router.check_silence(turn, &watched_id, n, &watched_route, now)
+            };
+            self.after(turn, patience, Box::new(check));
+        }
         true
     }
 
-    /// How long an execution is waited for: long enough for most answers, short enough to leave room for
-    /// another; where none can follow, until the answer is due.
-    fn patience(&self, now: Duration, access: &Access) -> Duration {
-        let left = access.due.saturating_sub(now);
-        let category = &self.categories[access.arrival.category];
-        let usual = OVERHEAD + access.work;
-        let patient = usual.mul_f64(self.stretch.0 + 4.0 * self.stretch.1) + left;
-        let last = access.executions.len() + 1 >= self.most_executions || self.spare < 1.0;
-        if category.effect != Effect::Idempotent || category.streamed || last || patient + usual > left {
-            return left;
+    /// A time has passed in which most executions have ended. One whose server has answered others meanwhile
+    /// is slow and is waited for: to start it again would double the load. A server, or a source, of which
+    /// nothing was heard since is silent: it is judged, and the access moves on.
+    fn check_silence(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
+        let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended && !a.begun) else { return };
+        let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
+        for name in [Some(&route.server), route.source.as_ref()].into_iter().flatten() {
+            if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
+                server.judge(turn.now, true, 1.0, 0.0);
+                access.failed.push(name.clone());
+                execution.called_off = true;
+                return turn.out.cancel(id, n);
+            }
         }
-        patient
     }
 
     // ---- What follows ----
@@ -772,13 +794,19 @@
                 server.under_way -= 1;
             }
         }
+        let told = [&route.server].into_iter().chain(source.as_ref().filter(|_| ended.outcome == Honoured));
+        for name in told.filter(|_| !matches!(ended.outcome, TimedOut | Unreachable | Cancelled | NeverSent))
+        {
+            self.servers.get_mut(name).into_iter().for_each(|s| s.heard = now);
+        }
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
         // (failed, how much of it is laid to each); a slow fill may be the fault of either end.
         let (cache, fill) = match (ended.outcome, ended.remark) {
             (Honoured, _) => (Some((false, 1.0)), (!hit).then_some((false, 1.0))),
+            // These speak of the server alone, whatever the others do.
+            (Unreachable | Broken, _) => (Some((true, 1.0)), None),
             (_, Remark::SourceRefused | Remark::NoFillPlace | Remark::SourceLacks) => (None, None),
             (_, Remark::SourceUnreached | Remark::OriginFailed) => (None, Some((true, 1.0))),
-            (Unreachable | Broken, _) => (Some((true, 1.0)), None),
             (Error | TimedOut, _) if source.is_none() || !filling => (Some((true, 1.0)), None),
             (Error | TimedOut, _) => (Some((true, 0.5)), Some((true, 0.5))),
             (Full | Cancelled | NeverSent | Missing, _) => (None, None),
@@ -786,6 +814,10 @@
         for (name, verdict) in [(Some(&route.server), cache), (source.as_ref(), fill)] {
             let server = name.and_then(|name| self.servers.get_mut(name));
             if let (Some(server), Some((failed, weight))) = (server, verdict) {
+                if matches!(ended.outcome, Unreachable | Broken) {
+                    server.judge(now, failed, weight, 0.0);
+                    continue;
+                }
                 let usual = &mut self.usual_fails[server.tier as usize];
                 server.judge(now, failed, weight, *usual);
                 *usual += (f64::from(u8::from(failed)) - *usual) * weight / 32.0;
@@ -833,6 +865,7 @@
             Some(source) if ended.outcome == Full && ended.remark == Remark::None => {
                 access.failed.extend([route.server.clone(), source.clone()]);
             }
+            _ if ended.outcome == Cancelled => {}
             _ => access.failed.push(route.server.clone()),
         }
         if self.spare < 1.0 || turn.now >= access.due {
