--- a/src/control.rs
+++ b/src/control.rs
@@ -542,11 +542,11 @@
     }
 
     /// A fill ended: how many may be under way follows, and those that wait go, most benefit for the work first.
-    fn fill_ended(&mut self, turn: &mut Turn, in_time: bool) {
+    fn fill_ended(&mut self, turn: &mut Turn, in_time: Option<bool>) {
         self.fills_out -= 1.0;
-        if in_time {
+        if in_time == Some(true) {
             self.fills_most += 1.0 / self.fills_most;
-        } else if turn.now >= self.fills_cut + FILL_CUT_EVERY {
+        } else if in_time == Some(false) && turn.now >= self.fills_cut + FILL_CUT_EVERY {
             self.fills_most = (self.fills_most * FILL_CUT).max(FILLS_LEAST);
             self.fills_cut = turn.now;
         }
@@ -711,7 +711,8 @@
         }
         let limit = access.due.saturating_sub(now);
         let watched = self.may_cancel && category.effect == Effect::Idempotent && !category.streamed;
-        let patience = (OVERHEAD + access.work).mul_f64(self.stretch.0 + 4.0 * self.stretch.1);
+        let patience =
+            (OVERHEAD + access.work).mul_f64((self.stretch.0 + 4.0 * self.stretch.1).clamp(2.0, 4.0));
         let fill = route.source.clone().map(|source| Fill {
             source,
             rank: if server.tier == Tier::Cache { access.rank } else { 0 },
@@ -750,7 +751,9 @@
             if filling {
                 let soft =
                     router.accesses.get(&id).map_or(turn.now, |a| a.soft.max(now + (OVERHEAD + a.work) * 2));
-                router.fill_ended(turn, ended.outcome == Outcome::Honoured && turn.now <= soft);
+                let dead = ended.outcome == Outcome::Cancelled || ended.remark == Remark::SourceUnreached;
+                let in_time = ended.outcome == Outcome::Honoured && turn.now <= soft;
+                router.fill_ended(turn, (!dead).then_some(in_time));
             }
             router.follow(turn, &id, &route, now, ended);
         });
@@ -794,12 +797,13 @@
                 server.under_way -= 1;
             }
         }
-        let told = [&route.server].into_iter().chain(source.as_ref().filter(|_| ended.outcome == Honoured));
+        let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
+        let told =
+            [&route.server].into_iter().chain(source.as_ref().filter(|_| ended.outcome == Honoured && !hit));
         for name in told.filter(|_| !matches!(ended.outcome, TimedOut | Unreachable | Cancelled | NeverSent))
         {
             self.servers.get_mut(name).into_iter().for_each(|s| s.heard = now);
         }
-        let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
         // (failed, how much of it is laid to each); a slow fill may be the fault of either end.
         let (cache, fill) = match (ended.outcome, ended.remark) {
             (Honoured, _) => (Some((false, 1.0)), (!hit).then_some((false, 1.0))),
