What was taken for a hit and is still out counts as a fill; copies are known per cache

Cause: in a jam objects believed held were filled anew past the limit (77 executions at one parent against a limit of 4).

--- a/src/control.rs
+++ b/src/control.rs
@@ -92,8 +92,8 @@
     cost: Option<f64>,
     /// It was last sent to be kept.
     kept: bool,
-    /// A cache answered from a copy, or was told to keep one, and nothing since spoke against it.
-    held: bool,
+    /// The cache that last answered from a copy of it, or was told to keep one.
+    held: Option<Id>,
     /// Its access was not honoured: the client's own retry is no new sighting.
     unmet: bool,
     rank: u8,
@@ -116,15 +116,8 @@
         let key = (arrival.object.clone(), arrival.part);
         let accesses = self.accesses;
         let Some(seen) = self.seen.get_mut(&key) else {
-            let first = Seen {
-                count: accesses,
-                at: now,
-                cost: None,
-                kept: false,
-                held: false,
-                unmet: false,
-                rank: 0,
-            };
+            let first =
+                Seen { count: accesses, at: now, cost: None, kept: false, held: None, unmet: false, rank: 0 };
             self.seen.put(key, first);
             return 0;
         };
@@ -166,7 +159,7 @@
         }
     }
 
-    fn held(&mut self, arrival: &Arrival) -> Option<&mut bool> {
+    fn held(&mut self, arrival: &Arrival) -> Option<&mut Option<Id>> {
         self.seen.peek_mut(&(arrival.object.clone(), arrival.part)).map(|seen| &mut seen.held)
     }
 
@@ -255,6 +248,8 @@
 struct Execution {
     next: Option<Next>,
     called_off: bool,
+    /// It counts among the fills under way.
+    filling: bool,
 }
 
 /// Where an execution goes: a server, and the source of a fill with it.
@@ -506,20 +501,21 @@
 
     /// The next execution of an access, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
-        if self.fills_out >= self.fills_most && self.likely_fill(id) {
+        let route = self.route(turn.now, id);
+        if self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
             return self.hold(turn, id);
         }
-        let sent = self.route(turn.now, id).is_some_and(|route| self.send(turn, id, route));
+        let sent = route.is_some_and(|route| self.send(turn, id, route));
         if !sent && self.accesses.get(id).is_some_and(|a| a.open == 0) {
             self.end(turn, id);
         }
     }
 
-    /// No cache is known to hold it: it would go through the location's link.
-    fn likely_fill(&mut self, id: &Id) -> bool {
+    /// The cache is not known to hold it: it would go through the location's link.
+    fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
         let cacheable = self.fills && self.categories[access.arrival.category].cacheable;
-        cacheable && !self.ids.held(&access.arrival).is_some_and(|held| *held)
+        cacheable && self.ids.held(&access.arrival).is_none_or(|held| held.as_ref() != Some(&route.server))
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
@@ -739,7 +735,7 @@
                 trickle.due = now + trickle.spacing;
             }
         }
-        let filling = self.likely_fill(id);
+        let filling = self.likely_fill(id, &route);
         self.fills_out += f64::from(u8::from(filling));
         let Some(access) = self.accesses.get_mut(id) else { return false };
         turn.out.execute(id, &route.server, limit, fill.as_ref());
@@ -747,6 +743,7 @@
         let (n, id) = (access.executions.len(), id.clone());
         let (watched_id, watched_route) = (id.clone(), route.clone());
         let next: Next = Box::new(move |router, turn, ended| {
+            let filling = router.accesses.get(&id).is_some_and(|a| a.executions[n].filling);
             router.learn(now, turn.now, &id, &route, filling, ended);
             if filling {
                 let soft =
@@ -757,7 +754,7 @@
             }
             router.follow(turn, &id, &route, now, ended);
         });
-        access.executions.push(Execution { next: Some(next), called_off: false });
+        access.executions.push(Execution { next: Some(next), called_off: false, filling });
         if watched {
             let check = move |router: &mut Router, turn: &mut Turn| {
                 router.check_silence(turn, &watched_id, n, &watched_route, now)
@@ -773,6 +770,10 @@
     fn check_silence(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended && !a.begun) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
+        // A copy would have been sent by now: it is being filled after all.
+        if self.fills && !std::mem::replace(&mut execution.filling, true) {
+            self.fills_out += 1.0;
+        }
         for name in [Some(&route.server), route.source.as_ref()].into_iter().flatten() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
                 server.judge(turn.now, true, 1.0, 0.0);
@@ -829,7 +830,9 @@
         }
         if ended.outcome == Honoured {
             let rank = access.rank;
-            self.ids.held(&access.arrival).into_iter().for_each(|held| *held = hit || rank > 0);
+            self.ids.held(&access.arrival).into_iter().for_each(|held| {
+                *held = (hit || rank > 0).then(|| route.server.clone());
+            });
         }
         // A fill that was not needed never reached its source.
         if let Some(server) = source.as_ref().filter(|_| hit).and_then(|s| self.servers.get_mut(s)) {
