--- a/src/control.rs
+++ b/src/control.rs
@@ -195,8 +195,9 @@
     /// Log odds that it is broken.
     doubt: f64,
     aside: Option<Trickle>,
-    /// When it last showed that it is there.
+    /// When it last showed that it is there, and whether it gave no sign of life since it was found missing.
     heard: Duration,
+    missing: bool,
 }
 
 impl Server {
@@ -211,6 +212,7 @@
             doubt: 0.0,
             aside: None,
             heard: Duration::ZERO,
+            missing: false,
         }
     }
 
@@ -530,6 +532,7 @@
         self.waiting.push(id.clone());
         let (id, wait) = (id.clone(), latest - turn.now);
         let too_late = move |router: &mut Router, turn: &mut Turn| {
+            router.waiting.retain(|waits| *waits != id);
             if router.accesses.get(&id).is_some_and(|a| a.waits) {
                 router.end(turn, &id);
             }
@@ -587,7 +590,10 @@
         // While its link serves all it holds at half pace or better, moving on would cost a miss and gain little.
         let filled = |s: &Server| s.under_way as f64 >= 2.0 * s.member.capacity;
         let crowded = |s: &&&Server| s.kb_under_way > CROWDED * average && filled(s);
-        let sound = || open.iter().filter(|s| !fails(s) && s.sound(now));
+        // What strikes most of a tier lies behind it: only who is missing is then passed over, since to crowd
+        // the few that seem sound, or the origin, would lose the copies that the others still hold.
+        let most = open.iter().filter(|s| s.sound(now)).count() * 2 < open.len();
+        let sound = || open.iter().filter(|s| !fails(s) && (s.sound(now) || most && !s.missing));
         sound().find(|s| !crowded(s)).or(sound().next()).or(open.iter().find(|s| !fails(s))).copied()
     }
 
@@ -595,7 +601,7 @@
         let access = self.accesses.get(id)?;
         let name = |s: &Server| s.member.server.clone();
         let source = || {
-            let parent = self.pick(now, Tier::Parent, access).filter(|s| s.sound(now));
+            let parent = self.pick(now, Tier::Parent, access).filter(|s| s.sound(now) || !s.missing);
             parent.or_else(|| self.pick(now, Tier::Origin, access)).map(name)
         };
         // What no cache may keep runs at the origin: the caches on the way could only fail it.
@@ -776,6 +782,7 @@
         }
         for name in [Some(&route.server), route.source.as_ref()].into_iter().flatten() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
+                server.missing = true;
                 server.judge(turn.now, true, 1.0, 0.0);
                 access.failed.push(name.clone());
                 execution.called_off = true;
@@ -803,7 +810,7 @@
             [&route.server].into_iter().chain(source.as_ref().filter(|_| ended.outcome == Honoured && !hit));
         for name in told.filter(|_| !matches!(ended.outcome, TimedOut | Unreachable | Cancelled | NeverSent))
         {
-            self.servers.get_mut(name).into_iter().for_each(|s| s.heard = now);
+            self.servers.get_mut(name).into_iter().for_each(|s| (s.heard, s.missing) = (now, false));
         }
         // (failed, how much of it is laid to each); a slow fill may be the fault of either end.
         let (cache, fill) = match (ended.outcome, ended.remark) {
@@ -820,6 +827,7 @@
             let server = name.and_then(|name| self.servers.get_mut(name));
             if let (Some(server), Some((failed, weight))) = (server, verdict) {
                 if matches!(ended.outcome, Unreachable | Broken) {
+                    server.missing = true;
                     server.judge(now, failed, weight, 0.0);
                     continue;
                 }
