--- a/src/control.rs
+++ b/src/control.rs
@@ -269,9 +269,8 @@
     soft: Duration,
     /// The final answer goes out by then.
     due: Duration,
-    /// It waits for its turn to be filled, after a cache was asked for what it holds.
+    /// It waits for its turn to be filled.
     waits: bool,
-    looked: bool,
     executions: Vec<Execution>,
     open: usize,
     begun: bool,
@@ -433,22 +432,9 @@
         let soft = now + category.soft_limit + work.mul_f64(category.soft_stretch);
         let id = arrival.id.clone();
         let (executions, failed) = (Vec::new(), Vec::new());
-        let (open, waits, looked, begun, ended, ran) = (0, false, false, false, false, None);
-        let access = Access {
-            arrival,
-            rank,
-            work,
-            soft,
-            due,
-            waits,
-            looked,
-            executions,
-            open,
-            begun,
-            ended,
-            ran,
-            failed,
-        };
+        let (open, waits, begun, ended, ran) = (0, false, false, false, None);
+        let access =
+            Access { arrival, rank, work, soft, due, waits, executions, open, begun, ended, ran, failed };
         self.accesses.insert(id.clone(), access);
         self.spare = (self.spare + SPARE_PER_ACCESS).min(SPARE_MOST);
         let overdue = id.clone();
@@ -518,15 +504,9 @@
     /// The next execution of an access, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
         let route = self.route(turn.now, id);
-        let over =
-            self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r));
-        if over && self.accesses.get(id).is_some_and(|a| a.looked) {
+        if self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
             return self.hold(turn, id);
         }
-        // Before it waits for a fill the cache is asked for what it holds: that costs no fill.
-        let look = |route: Route| Route { source: Some(route.server.clone()), ..route };
-        let route = if over { route.map(look) } else { route };
-        self.accesses.get_mut(id).into_iter().for_each(|a| a.looked |= over);
         let sent = route.is_some_and(|route| self.send(turn, id, route));
         if !sent && self.accesses.get(id).is_some_and(|a| a.open == 0) {
             self.end(turn, id);
@@ -537,9 +517,7 @@
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
         let cacheable = self.fills && self.categories[access.arrival.category].cacheable;
-        cacheable
-            && route.source.as_ref() != Some(&route.server)
-            && self.ids.held(&access.arrival).is_none_or(|held| held.as_ref() != Some(&route.server))
+        cacheable && self.ids.held(&access.arrival).is_none_or(|held| held.as_ref() != Some(&route.server))
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
@@ -893,10 +871,6 @@
         if access.ended || access.begun {
             return;
         }
-        // It was only looked for.
-        if ended.outcome == Missing && route.source.as_ref() == Some(&route.server) {
-            return self.advance(turn, id);
-        }
         // The source alone failed: the cache is asked again, with another.
         let source_only = matches!(
             ended.remark,
