--- a/crates/wirehost/src/start.rs
+++ b/crates/wirehost/src/start.rs
@@ -101,8 +101,6 @@
         max_executions: whole(&limits, "MaxAttempts")? as usize,
         second_copies: flag(&limits, "SecondCopies")?,
         may_cancel: flag(&limits, "MayCancel")?,
-        may_probe: flag(&limits, "MayProbe")?,
-        may_tell: flag(&limits, "PeerMessages")?,
         longest_advice: flag(&limits, "RetryAfter")?
             .then(|| span_of(&limits, "MaxRetryAfter"))
             .transpose()?,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -108,22 +108,9 @@
         self.put("NotifyMe", json!({"When": ms(at), "Mark": mark}));
     }
 
-    fn probe(&mut self, server: &Id) {
-        self.put("AskLoad", json!({"Server": &**server}));
-    }
-
-    fn tell(&mut self, router: Option<u64>, text: &[u8]) {
-        let data: String = text.iter().map(|b| format!("{b:02x}")).collect();
-        self.put("MemoTo", json!({"Peer": router.map_or(-1, |r| r as i64), "Data": data}));
-    }
-
     fn watch_list(&mut self) {
         self.put("Listen", json!({"Enable": true}));
     }
-
-    fn log(&mut self, text: &str) {
-        self.put("SayLog", json!({"Message": text}));
-    }
 }
 
 fn member(entry: &Value) -> Result<Member, String> {
@@ -282,20 +269,15 @@
                 let ended = hosted.ended(f)?;
                 hosted.router.result(now, &id(f, "OpId")?, whole(f, "N")? as usize, &ended, out);
             }
-            "First" => hosted.router.begun(&id(f, "OpId")?, whole(f, "N")? as usize),
+            "First" => hosted.router.begun(&id(f, "OpId")?),
             "TimedOutClient" => hosted.router.left(now, &id(f, "OpId")?, out),
             "Timer" => hosted.router.wake(now, whole(f, "Mark")?, out),
-            "ProbeDone" => {
-                let load = hosted.load(f)?;
-                let answered = outcome(text(f, "StateCode")?)? == Outcome::Honoured;
-                hosted.router.probed(now, &id(f, "Server")?, answered, load);
-            }
             "ExpiredNow" => {
                 let object = Some(text(f, "Item")?).filter(|item| !item.is_empty()).map(Id::from);
                 hosted.router.purged(now, object, whole(f, "FamilyId")?, span(number(f, "HowOld")?));
             }
-            // No router tells another anything yet.
-            "Message" => {}
+            // Routers neither probe nor tell one another anything.
+            "ProbeDone" | "Message" => {}
             other => eprintln!("chalkhall-wirehost: unknown event {other:?} skipped"),
         }
         out.failed.take().map_or(Ok(()), Err)
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,12 +1,13 @@
 //! Every decision of a router: where an access goes, what is kept and at which rank, what follows a failure.
 //!
 //! How to call it: `Router::start` once, then one method for each thing that happens (`list`, `access`,
-//! `result`, `begun`, `left`, `purged`, `probed`, `wake`), each with the time since the start and the
-//! outlet through which the router acts. The types of these calls and the outlet are in `interface.rs`.
+//! `result`, `begun`, `left`, `purged`, `wake`), each with the time since the start and the outlet through
+//! which the router acts. The types of these calls and the outlet are in `interface.rs`.
 //!
-//! How it reads: constants; the id list (the design's mechanism); one cache server; one execution and one
-//! access; the router. `Router::send` is the one gate that every execution passes: the five rules are
-//! enforced there and nowhere else. Each execution leaves a closure that is handed its result.
+//! How it reads: constants; the id list (the design's mechanism); one server; one execution and one access;
+//! the router: calls, waiting, where to, the gate, what follows. `Router::send` is the gate that every
+//! execution passes: the five rules are enforced there. Each execution leaves a closure that is handed its
+//! result.
 
 use crate::interface::*;
 use lru::LruCache;
@@ -21,35 +22,40 @@
 const SCORES_BEFORE_RANKS: usize = 256;
 /// How many scores and sightings count as recent.
 const RECENT: usize = 1024;
-/// A member holding over this multiple of the average bytes under way is passed over (design page).
+/// A member holding over this multiple of the average bytes under way is passed over (design page), once it
+/// holds this multiple of what its link carries at full pace: before that a move costs a copy for nothing.
 const CROWDED: f64 = 2.0;
+const CROWDED_FROM: f64 = 2.0;
 
 /// Sequential test: chance of a failure at a sound and at a broken server, and the odds that decide.
 const SOUND_FAILS: f64 = 0.05;
 const BROKEN_FAILS: f64 = 0.5;
 const DECIDING_ODDS: f64 = 100.0;
+/// How slowly the usual share of failures of a tier follows.
+const USUAL_OVER: f64 = 32.0;
 /// A server set aside gets one execution in this time; halved by each success, doubled by each failure.
 const TRICKLE_FIRST: Duration = Duration::from_millis(1000);
 const TRICKLE_SLOWEST: Duration = Duration::from_millis(4000);
 const TRICKLE_FULL: Duration = Duration::from_millis(50);
 
-/// Share of a cold server's budget that the routers together use; less where capacities are rough.
+/// Share of a cold server's budget that the routers together use; less where capacities are not exact.
 const COLD_MARGIN: f64 = 0.6;
 const COLD_MARGIN_ROUGH: f64 = 0.45;
 
-/// What an answer takes beside its sending time, and the first guess of how far it stretches.
+/// What an answer takes beside its sending time, and the multiple of both after which it is looked into.
 const OVERHEAD: Duration = Duration::from_millis(100);
-const STRETCH_GUESS: (f64, f64) = (1.5, 0.5);
+const PATIENCE: f64 = 3.0;
 /// Further executions are paid from a store that each access fills a little.
 const SPARE_PER_ACCESS: f64 = 0.2;
 const SPARE_MOST: f64 = 40.0;
-
-/// Fills that may be under way: one more for as many as end in time, a cut when one ends late.
+/// Fills under way: one more allowed for as many as end in time, a cut at most this often when one is late.
 const FILL_CUT: f64 = 0.9;
 const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
 const FILLS_LEAST: f64 = 2.0;
+/// The wait that a declined client is advised.
+const ADVICE: Duration = Duration::from_millis(200);
 
-/// What a router still says to itself when a time comes, and what it makes of an execution's end.
+/// What a router still does when a time comes, and what it makes of an execution's end.
 type Then = Box<dyn FnOnce(&mut Router, &mut Turn)>;
 type Next = Box<dyn FnOnce(&mut Router, &mut Turn, &Ended)>;
 
@@ -85,21 +91,21 @@
     }
 }
 
-/// What the id list holds of one part of an object.
+/// What the id list holds of one part of an object: stamps in accesses and in time, and the access cost.
+#[derive(Default)]
 struct Seen {
     count: u64,
     at: Duration,
     cost: Option<f64>,
-    /// It was last sent to be kept.
-    kept: bool,
-    /// The cache that last answered from a copy of it, or was told to keep one.
-    held: Option<Id>,
+    /// The rank it was last given; 0: passed unkept.
+    rank: u8,
     /// Its access was not honoured: the client's own retry is no new sighting.
     unmet: bool,
-    rank: u8,
+    /// The cache that last answered from a copy of it, or was told to keep one.
+    held: Option<Id>,
 }
 
-/// The recency-ordered list of ids with their stamps, and the recent scores that it is judged against.
+/// The recency-ordered list of ids, and the recent values that a sighting is judged against.
 struct IdList {
     seen: LruCache<(Id, u64), Seen>,
     accesses: u64,
@@ -111,14 +117,12 @@
 
 impl IdList {
     /// Counts a sighting and gives the rank at which a copy is kept; 0: passed unkept.
-    fn sight(&mut self, now: Duration, arrival: &Arrival, category: &Category) -> u8 {
+    fn sight(&mut self, now: Duration, arrival: &Arrival, fresh: Option<Duration>) -> u8 {
         self.accesses += 1;
         let key = (arrival.object.clone(), arrival.part);
-        let accesses = self.accesses;
+        let count = self.accesses;
         let Some(seen) = self.seen.get_mut(&key) else {
-            let first =
-                Seen { count: accesses, at: now, cost: None, kept: false, held: None, unmet: false, rank: 0 };
-            self.seen.put(key, first);
+            self.seen.put(key, Seen { count, at: now, ..Seen::default() });
             return 0;
         };
         // A retry would pass for a second sighting and admit what is asked for once only.
@@ -126,13 +130,12 @@
             return seen.rank;
         }
         let since = now.saturating_sub(seen.at).as_secs_f64();
-        let refresh = category.fresh.map_or(0.0, |fresh| (since / fresh.as_secs_f64()).min(1.0));
+        let refresh = fresh.map_or(0.0, |fresh| (since / fresh.as_secs_f64()).min(1.0));
         let cost = seen.cost.or(self.usual_cost).unwrap_or(1.0);
-        let requests = (accesses - seen.count) as f64;
-        let value = cost * (1.0 - refresh) / requests;
+        let value = cost * (1.0 - refresh) / (count - seen.count) as f64;
         let score = if value > 0.0 { arrival.kb / value } else { f64::INFINITY };
-        let gate_open = self.values.sorted.len() < SIGHTINGS_BEFORE_GATE;
-        let admitted = gate_open || value >= self.values.quantile(0.25);
+        let admitted =
+            self.values.sorted.len() < SIGHTINGS_BEFORE_GATE || value >= self.values.quantile(0.25);
         let rank = match self.scores.sorted.len() {
             n if n < SCORES_BEFORE_RANKS => 2,
             _ if score < self.scores.quantile(1.0 / 3.0) => 3,
@@ -141,39 +144,32 @@
         };
         self.values.note(value);
         self.scores.note(score);
-        // Where a copy expires before it is asked for again nothing is admitted; a kept one drops to bottom.
-        seen.rank = match (refresh < 1.0, admitted) {
-            (true, true) => rank,
-            (false, _) if seen.kept => 1,
-            _ => 0,
+        // What expires before it is asked for again is not admitted; a kept copy of it drops to the bottom.
+        let rank = match admitted {
+            _ if refresh >= 1.0 => u8::from(seen.rank > 0),
+            true => rank,
+            false => 0,
         };
-        (seen.kept, seen.count, seen.at) = (seen.rank > 0, accesses, now);
-        seen.rank
-    }
-
-    fn told_cost(&mut self, arrival: &Arrival, first_byte: Duration) {
-        let cost = (first_byte.as_secs_f64() * 1e3).max(1.0);
-        self.usual_cost = Some(self.usual_cost.map_or(cost, |usual| usual + (cost - usual) / 32.0));
-        if let Some(seen) = self.seen.peek_mut(&(arrival.object.clone(), arrival.part)) {
-            seen.cost = Some(cost);
-        }
+        (seen.rank, seen.count, seen.at) = (rank, count, now);
+        rank
     }
 
-    fn held(&mut self, arrival: &Arrival) -> Option<&mut Option<Id>> {
-        self.seen.peek_mut(&(arrival.object.clone(), arrival.part)).map(|seen| &mut seen.held)
+    fn known(&mut self, arrival: &Arrival) -> Option<&mut Seen> {
+        self.seen.peek_mut(&(arrival.object.clone(), arrival.part))
     }
 
-    fn unmet(&mut self, arrival: &Arrival) {
-        if let Some(seen) = self.seen.peek_mut(&(arrival.object.clone(), arrival.part)) {
-            seen.unmet = true;
-        }
+    fn told_cost(&mut self, arrival: &Arrival, first_byte: Duration) {
+        let cost = (first_byte.as_secs_f64() * 1e3).max(1.0);
+        self.usual_cost = Some(self.usual_cost.map_or(cost, |usual| usual + (cost - usual) / USUAL_OVER));
+        self.known(arrival).into_iter().for_each(|seen| seen.cost = Some(cost));
     }
 }
 
 // ---- One cache server, parent or origin ----
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Tier {
+    #[default]
     Cache,
     Parent,
     Origin,
@@ -185,6 +181,7 @@
     spacing: Duration,
 }
 
+#[derive(Default)]
 struct Server {
     member: Member,
     tier: Tier,
@@ -195,27 +192,12 @@
     /// Log odds that it is broken.
     doubt: f64,
     aside: Option<Trickle>,
-    /// When it last showed that it is there, and whether it gave no sign of life since it was found missing.
+    /// When it last showed that it is there, and whether it has been found missing since.
     heard: Duration,
     missing: bool,
 }
 
 impl Server {
-    fn new(member: Member, tier: Tier) -> Server {
-        let sent = VecDeque::new();
-        Server {
-            member,
-            tier,
-            sent,
-            kb_under_way: 0.0,
-            under_way: 0,
-            doubt: 0.0,
-            aside: None,
-            heard: Duration::ZERO,
-            missing: false,
-        }
-    }
-
     fn sound(&self, now: Duration) -> bool {
         self.aside.as_ref().is_none_or(|trickle| now >= trickle.due)
     }
@@ -228,19 +210,15 @@
         let broken = BROKEN_FAILS.max((1.0 + sound) / 2.0);
         let step = if failed { broken / sound } else { (1.0 - broken) / (1.0 - sound) };
         self.doubt = (self.doubt + weight * step.ln()).clamp(0.0, DECIDING_ODDS.ln());
-        match &mut self.aside {
-            None if self.doubt >= DECIDING_ODDS.ln() => {
-                self.aside = Some(Trickle { due: now + TRICKLE_FIRST, spacing: TRICKLE_FIRST });
-            }
-            None => {}
-            Some(trickle) => {
-                trickle.spacing =
-                    if failed { (trickle.spacing * 2).min(TRICKLE_SLOWEST) } else { trickle.spacing / 2 };
-                trickle.due = now + trickle.spacing;
-                if trickle.spacing < TRICKLE_FULL {
-                    (self.aside, self.doubt) = (None, 0.0);
-                }
-            }
+        let spacing = match &self.aside {
+            None if self.doubt < DECIDING_ODDS.ln() => return,
+            None => TRICKLE_FIRST,
+            Some(trickle) if failed => (trickle.spacing * 2).min(TRICKLE_SLOWEST),
+            Some(trickle) => trickle.spacing / 2,
+        };
+        self.aside = (spacing >= TRICKLE_FULL).then(|| Trickle { due: now + spacing, spacing });
+        if self.aside.is_none() {
+            self.doubt = 0.0;
         }
     }
 }
@@ -254,13 +232,14 @@
     filling: bool,
 }
 
-/// Where an execution goes: a server, and the source of a fill with it.
+/// Where an execution goes: a server, and the source of a fill with it; itself: no fill.
 #[derive(Clone)]
 struct Route {
     server: Id,
     source: Option<Id>,
 }
 
+#[derive(Default)]
 struct Access {
     arrival: Arrival,
     rank: u8,
@@ -269,10 +248,10 @@
     soft: Duration,
     /// The final answer goes out by then.
     due: Duration,
-    /// It waits for its turn to be filled.
-    waits: bool,
     executions: Vec<Execution>,
     open: usize,
+    /// It waits for its turn to be filled.
+    waits: bool,
     begun: bool,
     ended: bool,
     /// The first execution that may have run: when it was sent, and where.
@@ -283,28 +262,30 @@
 
 // ---- The router ----
 
-/// The instance: one router of one location.
-pub struct Router {
-    // Derived from what it was told at its start.
+/// What a router derives from what it is told at its start.
+struct Figures {
     location: usize,
-    routers_here: f64,
-    routers: f64,
     categories: Vec<Category>,
     margin: Duration,
     kb_per_s: f64,
-    models: (Option<usize>, Option<usize>),
+    parent_model: Option<usize>,
+    origin_model: Option<usize>,
+    /// By tier: the bounds of a cold start, and this router's share of what a cold server bears.
+    cold: [(ColdStart, f64); 2],
+    routers_here: f64,
     most_executions: usize,
     second_copies: bool,
     may_cancel: bool,
-    longest_advice: Option<Duration>,
-    cold: (ColdStart, ColdStart),
-    cold_margin: f64,
+    advice: Option<Duration>,
     purge_done: Duration,
     fills: bool,
     pass_through: bool,
     joins: bool,
-    must_ask: bool,
-    // What it has seen.
+}
+
+/// The instance: one router of one location.
+pub struct Router {
+    figures: Figures,
     started: Duration,
     chance: fastrand::Rng,
     servers: BTreeMap<Id, Server>,
@@ -317,8 +298,6 @@
     purged_groups: HashMap<u64, Duration>,
     /// By category: mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
-    /// How far answers stretch beyond their sending time: mean and deviation.
-    stretch: (f64, f64),
     spare: f64,
     /// By tier: share of outcomes that are failures, lately.
     usual_fails: [f64; 3],
@@ -331,65 +310,62 @@
 
 impl Router {
     pub fn start(now: Duration, seed: u64, told: &Deployment, out: &mut dyn Outlet) -> Router {
-        let scant = |hints| matches!(hints, Hints::Nominal);
-        let router = Router {
+        let routers_here = told.routers_at.get(told.location).copied().unwrap_or(told.routers).max(1) as f64;
+        let margin = if told.hints == Hints::Nominal { COLD_MARGIN } else { COLD_MARGIN_ROUGH };
+        let routers = told.routers.max(1) as f64;
+        let at_cache = if told.fills { routers_here } else { routers };
+        if told.list_on_request {
+            out.watch_list();
+        }
+        let figures = Figures {
             location: told.location,
-            routers_here: told.routers_at.get(told.location).map_or(told.routers, |n| *n).max(1) as f64,
-            routers: told.routers.max(1) as f64,
             categories: told.categories.clone(),
             margin: told.tick * 2,
             kb_per_s: if told.client_kb_per_s > 0.0 { told.client_kb_per_s } else { f64::INFINITY },
-            models: (told.parent_model, told.origin_model),
+            parent_model: told.parent_model,
+            origin_model: told.origin_model,
+            cold: [(told.cold_cache, margin / at_cache), (told.cold_parent, margin / routers)],
+            routers_here,
             most_executions: told.max_executions.max(1),
             second_copies: told.second_copies,
             may_cancel: told.may_cancel,
-            longest_advice: told.longest_advice,
-            cold: (told.cold_cache, told.cold_parent),
-            cold_margin: if scant(told.hints) { COLD_MARGIN } else { COLD_MARGIN_ROUGH },
+            advice: told.longest_advice.map(|longest| longest.min(ADVICE)),
             purge_done: told.purge_done,
             fills: told.fills,
             pass_through: told.pass_through,
             joins: told.joins,
-            must_ask: told.list_on_request,
+        };
+        let (scores, values) = (Recent::default(), Recent::default());
+        Router {
+            mean_work: vec![(0.0, 0.0); figures.categories.len()],
+            figures,
             started: now,
             chance: fastrand::Rng::with_seed(seed),
             servers: BTreeMap::new(),
-            ids: IdList {
-                seen: LruCache::new(ID_LIST),
-                accesses: 0,
-                scores: Recent::default(),
-                values: Recent::default(),
-                usual_cost: None,
-            },
+            ids: IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values, usual_cost: None },
             accesses: HashMap::new(),
             thens: HashMap::new(),
             last_mark: 0,
             purged_objects: HashMap::new(),
             purged_groups: HashMap::new(),
-            mean_work: vec![(0.0, 0.0); told.categories.len()],
-            stretch: STRETCH_GUESS,
             spare: SPARE_MOST,
             usual_fails: [0.0; 3],
             fills_out: 0.0,
             fills_most: 0.0,
             fills_cut: now,
             waiting: Vec::new(),
-        };
-        if router.must_ask {
-            out.watch_list();
         }
-        router
     }
 
     pub fn knows_category(&self, category: usize) -> bool {
-        category < self.categories.len()
+        category < self.figures.categories.len()
     }
 
     /// The list, or changes to it. A server that started anew begins with a clean record.
     pub fn list(&mut self, now: Duration, kind: ListKind, members: &[Member], out: &mut dyn Outlet) {
         if kind == ListKind::Failed {
             // Without a subscription a drain would never be heard of.
-            let wait = Duration::from_secs(1) + Duration::from_millis(self.chance.u64(0..500));
+            let wait = Duration::from_millis(self.chance.u64(1000..1500));
             return self.after(&mut Turn { now, out }, wait, Box::new(|_, turn| turn.out.watch_list()));
         }
         if kind != ListKind::Changes {
@@ -398,49 +374,43 @@
         }
         for member in members {
             let tier = match Some(member.model) {
-                model if model == self.models.0 => Tier::Parent,
-                model if model == self.models.1 => Tier::Origin,
+                model if model == self.figures.parent_model => Tier::Parent,
+                model if model == self.figures.origin_model => Tier::Origin,
                 _ => Tier::Cache,
             };
-            let fresh = || Server::new(member.clone(), tier);
-            let server = self.servers.entry(member.server.clone()).or_insert_with(fresh);
+            let server = self.servers.entry(member.server.clone()).or_default();
             if server.member.started != member.started {
-                (server.doubt, server.aside) = (0.0, None);
+                (server.doubt, server.aside, server.missing) = (0.0, None, false);
             }
-            server.member = member.clone();
+            (server.member, server.tier) = (member.clone(), tier);
         }
         if self.fills_most == 0.0 {
-            let here =
-                self.servers.values().filter(|s| s.tier == Tier::Cache && s.member.location == self.location);
-            self.fills_most =
-                (here.map(|s| s.member.capacity).sum::<f64>() / self.routers_here).max(FILLS_LEAST);
+            let here = self.servers.values().filter(|s| self.serves(s, Tier::Cache));
+            let capacity: f64 = here.map(|s| s.member.capacity).sum();
+            self.fills_most = (capacity / self.figures.routers_here).max(FILLS_LEAST);
         }
-        let done = |s: &Server| s.member.standing == Standing::Gone && s.under_way == 0;
-        self.servers.retain(|_, s| !done(s));
+        self.servers.retain(|_, s| s.member.standing != Standing::Gone || s.under_way > 0);
     }
 
     /// An access comes in: it gets its one final answer by `due` whatever else happens.
     pub fn access(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Outlet) {
         let turn = &mut Turn { now, out };
-        let category = &self.categories[arrival.category];
-        let rank = if category.cacheable { self.ids.sight(now, &arrival, category) } else { 0 };
-        let work = Duration::from_secs_f64(arrival.kb / self.kb_per_s);
+        let category = &self.figures.categories[arrival.category];
+        let rank = if category.cacheable { self.ids.sight(now, &arrival, category.fresh) } else { 0 };
+        let work = Duration::from_secs_f64(arrival.kb / self.figures.kb_per_s);
         let (mean, of) = &mut self.mean_work[arrival.category];
         *of = (*of + 1.0).min(256.0);
         *mean += (work.as_secs_f64() - *mean) / *of;
-        let due = now + arrival.left.saturating_sub(self.margin);
+        let due = now + arrival.left.saturating_sub(self.figures.margin);
         let soft = now + category.soft_limit + work.mul_f64(category.soft_stretch);
         let id = arrival.id.clone();
-        let (executions, failed) = (Vec::new(), Vec::new());
-        let (open, waits, begun, ended, ran) = (0, false, false, false, None);
-        let access =
-            Access { arrival, rank, work, soft, due, waits, executions, open, begun, ended, ran, failed };
+        let access = Access { arrival, rank, work, soft, due, ..Access::default() };
         self.accesses.insert(id.clone(), access);
         self.spare = (self.spare + SPARE_PER_ACCESS).min(SPARE_MOST);
-        let overdue = id.clone();
+        let late = id.clone();
         let at_due = move |router: &mut Router, turn: &mut Turn| {
-            if router.accesses.get(&overdue).is_some_and(|a| !a.begun) {
-                router.end(turn, &overdue);
+            if router.accesses.get(&late).is_some_and(|a| !a.begun) {
+                router.end(turn, &late);
             }
         };
         self.after(turn, due.saturating_sub(now), Box::new(at_due));
@@ -449,17 +419,13 @@
 
     /// The client left: nothing more is sent or owed.
     pub fn left(&mut self, now: Duration, id: &Id, out: &mut dyn Outlet) {
-        if let Some(access) = self.accesses.get_mut(id) {
-            access.ended = true;
-            self.close(&mut Turn { now, out }, id);
-        }
+        self.accesses.get_mut(id).into_iter().for_each(|access| access.ended = true);
+        self.close(&mut Turn { now, out }, id);
     }
 
     /// A streamed answer has begun: it belongs to the client, and no limit runs any more.
-    pub fn begun(&mut self, id: &Id, _execution: usize) {
-        if let Some(access) = self.accesses.get_mut(id) {
-            access.begun = true;
-        }
+    pub fn begun(&mut self, id: &Id) {
+        self.accesses.get_mut(id).into_iter().for_each(|access| access.begun = true);
     }
 
     /// An execution ended: what it left behind is handed the result.
@@ -475,13 +441,11 @@
         }
     }
 
-    pub fn probed(&mut self, _now: Duration, _server: &Id, _answered: bool, _load: Load) {}
-
     /// Remembered until no older copy can be left anywhere.
     pub fn purged(&mut self, now: Duration, object: Option<Id>, group: u64, ago: Duration) {
-        let (at, done) = (now.saturating_sub(ago), self.purge_done);
-        self.purged_objects.retain(|_, purge| now < *purge + done);
-        self.purged_groups.retain(|_, purge| now < *purge + done);
+        let (at, left) = (now.saturating_sub(ago), self.figures.purge_done + self.figures.margin);
+        self.purged_objects.retain(|_, purge| now < *purge + left);
+        self.purged_groups.retain(|_, purge| now < *purge + left);
         let latest = match object {
             Some(object) => self.purged_objects.entry(object).or_insert(at),
             None => self.purged_groups.entry(group).or_insert(at),
@@ -501,7 +465,9 @@
         turn.out.wake_at(turn.now + wait, self.last_mark);
     }
 
-    /// The next execution of an access, or its end.
+    // ---- Now, later or not at all ----
+
+    /// The next execution of an access, or a wait, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
         let route = self.route(turn.now, id);
         if self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
@@ -516,8 +482,9 @@
     /// The cache is not known to hold it: it would go through the location's link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
-        let cacheable = self.fills && self.categories[access.arrival.category].cacheable;
-        cacheable && self.ids.held(&access.arrival).is_none_or(|held| held.as_ref() != Some(&route.server))
+        let kept = self.figures.fills && self.figures.categories[access.arrival.category].cacheable;
+        let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
+        kept && route.source.as_ref() != Some(&route.server) && held != Some(&route.server)
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
@@ -530,14 +497,14 @@
         }
         access.waits = true;
         self.waiting.push(id.clone());
-        let (id, wait) = (id.clone(), latest - turn.now);
+        let id = id.clone();
         let too_late = move |router: &mut Router, turn: &mut Turn| {
             router.waiting.retain(|waits| *waits != id);
             if router.accesses.get(&id).is_some_and(|a| a.waits) {
                 router.end(turn, &id);
             }
         };
-        self.after(turn, wait, Box::new(too_late));
+        self.after(turn, latest - turn.now, Box::new(too_late));
     }
 
     /// A fill ended: how many may be under way follows, and those that wait go, most benefit for the work first.
@@ -550,14 +517,13 @@
             self.fills_cut = turn.now;
         }
         while self.fills_out < self.fills_most {
-            let (accesses, categories) = (&self.accesses, &self.categories);
+            let (accesses, categories) = (&self.accesses, &self.figures.categories);
             self.waiting.retain(|id| accesses.get(id).is_some_and(|a| a.waits && !a.ended));
-            let gain = |id: &Id| {
-                let a = &accesses[id];
-                categories[a.arrival.category].benefit / (OVERHEAD + a.work).as_secs_f64()
+            let gain = |place: &usize| {
+                let access = &accesses[&self.waiting[*place]];
+                categories[access.arrival.category].benefit / (OVERHEAD + access.work).as_secs_f64()
             };
-            let best = (0..self.waiting.len())
-                .max_by(|a, b| gain(&self.waiting[*a]).total_cmp(&gain(&self.waiting[*b])));
+            let best = (0..self.waiting.len()).max_by(|a, b| gain(a).total_cmp(&gain(b)));
             let Some(best) = best else { return };
             let id = self.waiting.remove(best);
             self.accesses.get_mut(&id).into_iter().for_each(|a| a.waits = false);
@@ -567,74 +533,62 @@
 
     // ---- Where to ----
 
-    /// Members of a tier in the order in which the hash of an object prefers them: each member draws its own
-    /// number, so that one that fails moves only its own objects, and all routers agree on the order.
-    fn preferred(&self, tier: Tier, object: &Id) -> Vec<&Server> {
-        let draw = |s: &Server| {
-            let hash = xxh3_64_with_seed(object.as_bytes(), xxh3_64_with_seed(s.member.server.as_bytes(), 0));
-            -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
-        };
-        let here = |s: &&Server| tier != Tier::Cache || !self.fills || s.member.location == self.location;
-        let of_tier = self.servers.values().filter(|s| s.tier == tier).filter(here);
-        let mut drawn: Vec<_> = of_tier.map(|s| (draw(s), s)).collect();
-        drawn.sort_by(|a, b| a.0.total_cmp(&b.0));
-        drawn.into_iter().map(|(_, s)| s).collect()
+    fn serves(&self, server: &Server, tier: Tier) -> bool {
+        let near =
+            tier != Tier::Cache || !self.figures.fills || server.member.location == self.figures.location;
+        server.tier == tier && near
     }
 
     /// The first that the hash prefers, moving on when one fails, is full or holds over twice the average.
+    /// Each member draws its own number for an object, so that one that fails moves only its own objects, and
+    /// all routers agree on the order.
     fn pick(&self, now: Duration, tier: Tier, access: &Access) -> Option<&Server> {
-        let members = self.preferred(tier, &access.arrival.object);
-        let open: Vec<_> = members.into_iter().filter(|s| self.may_take(now, s, access)).collect();
-        let average = open.iter().map(|s| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
-        let fails = |s: &&&Server| access.failed.contains(&s.member.server);
-        // While its link serves all it holds at half pace or better, moving on would cost a miss and gain little.
-        let filled = |s: &Server| s.under_way as f64 >= 2.0 * s.member.capacity;
-        let crowded = |s: &&&Server| s.kb_under_way > CROWDED * average && filled(s);
+        let draw = |s: &Server| {
+            let seed = xxh3_64_with_seed(s.member.server.as_bytes(), 0);
+            let hash = xxh3_64_with_seed(access.arrival.object.as_bytes(), seed);
+            -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
+        };
+        let members = self.servers.values().filter(|s| self.serves(s, tier) && self.may_take(now, s, access));
+        let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
+        open.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
+        let crowded = |s: &Server| {
+            s.kb_under_way > CROWDED * average && s.under_way as f64 >= CROWDED_FROM * s.member.capacity
+        };
         // What strikes most of a tier lies behind it: only who is missing is then passed over, since to crowd
         // the few that seem sound, or the origin, would lose the copies that the others still hold.
-        let most = open.iter().filter(|s| s.sound(now)).count() * 2 < open.len();
-        let sound = || open.iter().filter(|s| !fails(s) && (s.sound(now) || most && !s.missing));
-        sound().find(|s| !crowded(s)).or(sound().next()).or(open.iter().find(|s| !fails(s))).copied()
+        let most = open.iter().filter(|(_, s)| s.sound(now)).count() * 2 < open.len();
+        let sound = |s: &Server| s.sound(now) || most && !s.missing;
+        let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
+        left().find(|s| sound(s) && !crowded(s)).or(left().find(|s| sound(s))).or(left().next())
     }
 
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
         let access = self.accesses.get(id)?;
         let name = |s: &Server| s.member.server.clone();
-        let source = || {
-            let parent = self.pick(now, Tier::Parent, access).filter(|s| s.sound(now) || !s.missing);
-            parent.or_else(|| self.pick(now, Tier::Origin, access)).map(name)
-        };
+        let straight = |s: &Server| Route { server: name(s), source: self.figures.fills.then(|| name(s)) };
+        let origin = || self.pick(now, Tier::Origin, access);
+        let parent = || self.pick(now, Tier::Parent, access).filter(|s| s.sound(now) || !s.missing);
+        let passes = self.figures.fills && self.figures.pass_through;
         // What no cache may keep runs at the origin: the caches on the way could only fail it.
-        if !self.categories[access.arrival.category].cacheable && self.pass_through {
-            let origin = self.pick(now, Tier::Origin, access);
-            if let Some(origin) = origin {
-                return Some(Route { server: name(origin), source: Some(name(origin)) });
-            }
+        if passes && !self.figures.categories[access.arrival.category].cacheable && origin().is_some() {
+            return origin().map(straight);
         }
-        if let Some(cache) = self.pick(now, Tier::Cache, access) {
+        match self.pick(now, Tier::Cache, access) {
             // With no source left the cache itself is named: a plain send would bear no age, and could be
             // answered from a copy older than a purge.
-            let source = self.fills.then(|| source().unwrap_or_else(|| name(cache)));
-            return Some(Route { server: name(cache), source });
-        }
-        // No cache left: straight to a parent or the origin.
-        if !self.pass_through || !self.fills {
-            return None;
+            Some(cache) if self.figures.fills => {
+                let source = parent().or_else(origin).unwrap_or(cache);
+                Some(Route { server: name(cache), source: Some(name(source)) })
+            }
+            Some(cache) => Some(Route { server: name(cache), source: None }),
+            None if passes => parent().or_else(origin).map(straight),
+            None => None,
         }
-        source().map(|straight| Route { server: straight.clone(), source: Some(straight) })
     }
 
     // ---- The gate ----
 
-    /// What an execution weighs in a server's cold budget: at a cache the mean of its category, at a parent
-    /// its own sending time.
-    fn weight(&self, server: &Server, access: &Access) -> f64 {
-        match server.tier {
-            Tier::Cache => self.mean_work[access.arrival.category].0,
-            _ => access.work.as_secs_f64(),
-        }
-    }
-
     /// Rules 3 and 4, for a server as such or as a source: nothing new once told that it drains or is gone;
     /// and while it is cold, no more in any span than this router's own share of what it bears, so that
     /// all routers together, each alone with its share, cannot push it over.
@@ -642,12 +596,7 @@
         if server.member.standing != Standing::Active {
             return false;
         }
-        let (cold, routers) = match server.tier {
-            Tier::Cache if self.fills => (&self.cold.0, self.routers_here),
-            Tier::Cache => (&self.cold.0, self.routers),
-            Tier::Parent => (&self.cold.1, self.routers),
-            Tier::Origin => return true,
-        };
+        let Some((cold, share)) = self.figures.cold.get(server.tier as usize) else { return true };
         let Some(age) = server.member.started.map(|at| now.saturating_sub(at)) else { return true };
         if age >= cold.warm_within + cold.span {
             return true;
@@ -658,36 +607,45 @@
         }
         let warm = (age.as_secs_f64() / cold.warm_within.as_secs_f64()).min(1.0);
         let present = server.member.capacity * (cold.from + (1.0 - cold.from) * warm);
-        let bears = cold.multiple * present * cold.span.as_secs_f64() * self.cold_margin / routers;
+        let bears = cold.multiple * present * cold.span.as_secs_f64() * share;
         let sent: f64 = server.sent.iter().filter(|(at, _)| *at + cold.span > now).map(|(_, w)| w).sum();
         sent + self.weight(server, access) <= bears
     }
 
-    /// Rule 2: may this access run again (or be declined as safe to repeat)?
+    /// What an execution weighs there: at a cache the mean of its category, at a parent its own sending time.
+    fn weight(&self, server: &Server, access: &Access) -> f64 {
+        match server.tier {
+            Tier::Cache => self.mean_work[access.arrival.category].0,
+            _ => access.work.as_secs_f64(),
+        }
+    }
+
+    /// Rule 2: may this access run again, there, or (nowhere named) be declined as safe to repeat?
     fn may_repeat(&self, now: Duration, access: &Access, at: Option<&Server>) -> bool {
         let Some((sent, first)) = &access.ran else { return true };
-        let category = &self.categories[access.arrival.category];
-        let within = |same: fn(&Member) -> u64| {
-            let first = self.servers.get(first).map(|s| same(&s.member));
-            at.is_some_and(|s| Some(same(&s.member)) == first)
+        let category = &self.figures.categories[access.arrival.category];
+        let same = |of: fn(&Member) -> u64| {
+            let first = self.servers.get(first).map(|s| of(&s.member));
+            at.is_some_and(|s| Some(of(&s.member)) == first)
         };
         match (category.effect, category.group) {
             (Effect::Idempotent, _) => true,
             (Effect::Unrepeatable, _) => false,
             (Effect::Deduplicated, Group::All) if at.is_none() => true,
-            (Effect::Deduplicated, _) if now + self.margin >= *sent + category.window => false,
+            (Effect::Deduplicated, _) if now + self.figures.margin >= *sent + category.window => false,
             (Effect::Deduplicated, Group::All) => true,
-            (Effect::Deduplicated, Group::Location) => within(|m| m.location as u64),
-            (Effect::Deduplicated, Group::Cohort) => within(|m| m.cohort),
+            (Effect::Deduplicated, Group::Location) => same(|m| m.location as u64),
+            (Effect::Deduplicated, Group::Cohort) => same(|m| m.cohort),
         }
     }
 
     /// Rule 5: the oldest copy that will do. Counted from the purge, and never zero, which would mean any age.
     fn oldest(&self, now: Duration, access: &Access) -> Option<Duration> {
-        let fresh = self.categories[access.arrival.category].fresh;
+        let fresh = self.figures.categories[access.arrival.category].fresh;
         let object = self.purged_objects.get(&access.arrival.object);
         let purge = object.max(self.purged_groups.get(&access.arrival.group));
-        let current = purge.filter(|at| now < **at + self.purge_done + self.margin);
+        let left = self.figures.purge_done + self.figures.margin;
+        let current = purge.filter(|at| now < **at + left);
         let since = current.map(|at| now.saturating_sub(*at).max(Duration::from_micros(1)));
         since.into_iter().chain(fresh).min()
     }
@@ -695,92 +653,75 @@
     /// The gate: every execution passes here, and each rule is enforced here. False: not sent.
     fn send(&mut self, turn: &mut Turn, id: &Id, route: Route) -> bool {
         let now = turn.now;
+        let filling = self.likely_fill(id, &route);
         let Some(access) = self.accesses.get(id) else { return false };
         let Some(server) = self.servers.get(&route.server) else { return false };
-        let source = route.source.as_ref().and_then(|s| self.servers.get(s));
-        let category = &self.categories[access.arrival.category];
-        let sole = category.effect == Effect::Unrepeatable || !self.second_copies;
+        let source = route.source.as_ref().and_then(|s| self.servers.get(s)).unwrap_or(server);
+        let category = &self.figures.categories[access.arrival.category];
+        let idempotent = category.effect == Effect::Idempotent;
         let lawful = !access.ended
             && now < access.due
-            && access.executions.len() < self.most_executions
-            && (access.open == 0 || !sole)
-            && (access.open == 0 || category.effect == Effect::Idempotent)
+            && access.executions.len() < self.figures.most_executions
+            && (access.open == 0 || idempotent && self.figures.second_copies)
             && self.may_repeat(now, access, Some(server))
             && self.may_take(now, server, access)
-            && source.is_none_or(|s| self.may_take(now, s, access));
+            && self.may_take(now, source, access);
         if !lawful {
             return false;
         }
-        let limit = access.due.saturating_sub(now);
-        let watched = self.may_cancel && category.effect == Effect::Idempotent && !category.streamed;
-        let patience =
-            (OVERHEAD + access.work).mul_f64((self.stretch.0 + 4.0 * self.stretch.1).clamp(2.0, 4.0));
         let fill = route.source.clone().map(|source| Fill {
             source,
             rank: if server.tier == Tier::Cache { access.rank } else { 0 },
             oldest: self.oldest(now, access),
-            join: self.joins,
+            join: self.figures.joins,
             only_held: false,
             parent_keeps: true,
             renew: false,
         });
-        let (weights, kb) =
-            ([server, source.unwrap_or(server)].map(|s| self.weight(s, access)), access.arrival.kb);
-        let mut both = vec![route.server.clone()];
-        both.extend(route.source.clone().filter(|s| *s != route.server));
-        for (name, weight) in both.iter().zip(weights) {
-            let span = self.cold.0.span.max(self.cold.1.span);
+        let watched = idempotent && self.figures.may_cancel && !category.streamed;
+        let (kb, limit) = (access.arrival.kb, access.due - now);
+        let look_at = (OVERHEAD + access.work).mul_f64(PATIENCE);
+        let weights = [server, source].map(|s| self.weight(s, access));
+        let span = self.figures.cold[0].0.span.max(self.figures.cold[1].0.span);
+        for (name, weight) in route.ends().zip(weights) {
             let Some(server) = self.servers.get_mut(name) else { continue };
+            server.sent.retain(|(at, _)| *at + span > now);
             server.sent.push_back((now, weight));
-            while server.sent.front().is_some_and(|(at, _)| *at + span <= now) {
-                server.sent.pop_front();
-            }
             server.kb_under_way += kb;
             server.under_way += 1;
-            if let Some(trickle) = &mut server.aside {
-                trickle.due = now + trickle.spacing;
-            }
+            server.aside.iter_mut().for_each(|trickle| trickle.due = now + trickle.spacing);
         }
-        let filling = self.likely_fill(id, &route);
+        turn.out.execute(id, &route.server, limit, fill.as_ref());
         self.fills_out += f64::from(u8::from(filling));
         let Some(access) = self.accesses.get_mut(id) else { return false };
-        turn.out.execute(id, &route.server, limit, fill.as_ref());
         access.open += 1;
-        let (n, id) = (access.executions.len(), id.clone());
-        let (watched_id, watched_route) = (id.clone(), route.clone());
-        let next: Next = Box::new(move |router, turn, ended| {
-            let filling = router.accesses.get(&id).is_some_and(|a| a.executions[n].filling);
-            router.learn(now, turn.now, &id, &route, filling, ended);
-            if filling {
-                let soft =
-                    router.accesses.get(&id).map_or(turn.now, |a| a.soft.max(now + (OVERHEAD + a.work) * 2));
-                let dead = ended.outcome == Outcome::Cancelled || ended.remark == Remark::SourceUnreached;
-                let in_time = ended.outcome == Outcome::Honoured && turn.now <= soft;
-                router.fill_ended(turn, (!dead).then_some(in_time));
-            }
-            router.follow(turn, &id, &route, now, ended);
-        });
+        let n = access.executions.len();
+        let (looked_id, looked_route) = (id.clone(), route.clone());
+        let id = id.clone();
+        let next: Next = Box::new(move |router, turn, ended| router.follow(turn, &id, n, &route, now, ended));
         access.executions.push(Execution { next: Some(next), called_off: false, filling });
         if watched {
-            let check = move |router: &mut Router, turn: &mut Turn| {
-                router.check_silence(turn, &watched_id, n, &watched_route, now)
+            let look = move |router: &mut Router, turn: &mut Turn| {
+                router.look_into(turn, &looked_id, n, &looked_route, now)
             };
-            self.after(turn, patience, Box::new(check));
+            self.after(turn, look_at, Box::new(look));
         }
         true
     }
 
+    // ---- What follows ----
+
     /// A time has passed in which most executions have ended. One whose server has answered others meanwhile
     /// is slow and is waited for: to start it again would double the load. A server, or a source, of which
     /// nothing was heard since is silent: it is judged, and the access moves on.
-    fn check_silence(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
+    fn look_into(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended && !a.begun) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
         // A copy would have been sent by now: it is being filled after all.
-        if self.fills && !std::mem::replace(&mut execution.filling, true) {
+        if self.figures.fills && !std::mem::replace(&mut execution.filling, true) {
             self.fills_out += 1.0;
         }
-        for name in [Some(&route.server), route.source.as_ref()].into_iter().flatten() {
+        for name in route.ends() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
                 // Behind a source there may be another that is slow: only a cache is taken for missing.
                 server.missing |= *name == route.server;
@@ -792,78 +733,70 @@
         }
     }
 
-    // ---- What follows ----
-
     /// What the end of an execution says of its server and its source.
     fn learn(&mut self, sent: Duration, now: Duration, id: &Id, route: &Route, filling: bool, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
-        let (kb, work) = (access.arrival.kb, access.work);
-        let source = route.source.clone().filter(|s| *s != route.server);
-        for name in [Some(&route.server), source.as_ref()].into_iter().flatten() {
-            if let Some(server) = self.servers.get_mut(name) {
-                server.kb_under_way = (server.kb_under_way - kb).max(0.0);
-                server.under_way -= 1;
-            }
-        }
+        let (kb, work, rank) = (access.arrival.kb, access.work.as_secs_f64(), access.rank);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
-        let told =
-            [&route.server].into_iter().chain(source.as_ref().filter(|_| ended.outcome == Honoured && !hit));
-        for name in told.filter(|_| !matches!(ended.outcome, TimedOut | Unreachable | Cancelled | NeverSent))
-        {
-            self.servers.get_mut(name).into_iter().for_each(|s| (s.heard, s.missing) = (now, false));
-        }
-        // (failed, how much of it is laid to each); a slow fill may be the fault of either end.
-        let (cache, fill) = match (ended.outcome, ended.remark) {
-            (Honoured, _) => (Some((false, 1.0)), (!hit).then_some((false, 1.0))),
-            // These speak of the server alone, whatever the others do.
-            (Unreachable | Broken, _) => (Some((true, 1.0)), None),
-            (_, Remark::SourceRefused | Remark::NoFillPlace | Remark::SourceLacks) => (None, None),
-            (_, Remark::SourceUnreached | Remark::OriginFailed) => (None, Some((true, 1.0))),
-            (Error | TimedOut, _) if source.is_none() || !filling => (Some((true, 1.0)), None),
-            (Error | TimedOut, _) => (Some((true, 0.5)), Some((true, 0.5))),
-            (Full | Cancelled | NeverSent | Missing, _) => (None, None),
+        // How much of it is laid to the server and to the source; a slow fill may be the fault of either.
+        let (at_server, at_source) = match (ended.outcome, ended.remark) {
+            (Honoured, _) => (1.0, if hit { 0.0 } else { 1.0 }),
+            (Unreachable | Broken, _) => (1.0, 0.0),
+            (_, Remark::SourceUnreached | Remark::OriginFailed) => (0.0, 1.0),
+            (_, Remark::SourceRefused | Remark::NoFillPlace | Remark::SourceLacks) => (0.0, 0.0),
+            (Error | TimedOut, _) if filling => (0.5, 0.5),
+            (Error | TimedOut, _) => (1.0, 0.0),
+            (Full | Cancelled | NeverSent | Missing, _) => (0.0, 0.0),
         };
-        for (name, verdict) in [(Some(&route.server), cache), (source.as_ref(), fill)] {
-            let server = name.and_then(|name| self.servers.get_mut(name));
-            if let (Some(server), Some((failed, weight))) = (server, verdict) {
-                if matches!(ended.outcome, Unreachable | Broken) {
-                    server.missing = true;
-                    server.judge(now, failed, weight, 0.0);
-                    continue;
-                }
-                let usual = &mut self.usual_fails[server.tier as usize];
-                server.judge(now, failed, weight, *usual);
-                *usual += (f64::from(u8::from(failed)) - *usual) * weight / 32.0;
+        let failed = ended.outcome != Honoured;
+        let direct = matches!(ended.outcome, Unreachable | Broken);
+        let silent = direct || matches!(ended.outcome, TimedOut | Cancelled | NeverSent);
+        for (name, weight) in route.ends().zip([at_server, at_source]) {
+            let Some(server) = self.servers.get_mut(name) else { continue };
+            server.kb_under_way = (server.kb_under_way - kb).max(0.0);
+            server.under_way -= 1;
+            let first = *name == route.server;
+            if !silent && (first || !failed && !hit) {
+                (server.heard, server.missing) = (now, false);
             }
-        }
-        if ended.outcome == Honoured {
-            let rank = access.rank;
-            self.ids.held(&access.arrival).into_iter().for_each(|held| {
-                *held = (hit || rank > 0).then(|| route.server.clone());
-            });
-        }
-        // A fill that was not needed never reached its source.
-        if let Some(server) = source.as_ref().filter(|_| hit).and_then(|s| self.servers.get_mut(s)) {
-            let weight = work.as_secs_f64();
-            if let Some(at) = server.sent.iter().position(|entry| *entry == (sent, weight)) {
+            // A fill that was not needed never reached its source.
+            if hit
+                && !first
+                && let Some(at) = server.sent.iter().position(|s| *s == (sent, work))
+            {
                 server.sent.remove(at);
             }
+            if weight > 0.0 {
+                // Who cannot be reached is missing whatever the others do.
+                server.missing |= direct;
+                let usual = &mut self.usual_fails[server.tier as usize];
+                server.judge(now, failed, weight, if direct { 0.0 } else { *usual });
+                if !direct {
+                    *usual += (f64::from(u8::from(failed)) - *usual) * weight / USUAL_OVER;
+                }
+            }
         }
-        if matches!(ended.outcome, Honoured | TimedOut) {
-            let ratio = ended.took.as_secs_f64() / (OVERHEAD + work).as_secs_f64();
-            let (mean, deviation) = &mut self.stretch;
-            *deviation += ((ratio - *mean).abs() - *deviation) / 32.0;
-            *mean += (ratio - *mean) / 32.0;
+        if !failed && let Some(seen) = self.ids.known(&access.arrival) {
+            seen.held = (hit || rank > 0).then(|| route.server.clone());
         }
-        if let Some(first_byte) = ended.first_byte.filter(|_| ended.outcome == Honoured) {
+        if let Some(first_byte) = ended.first_byte.filter(|_| !failed) {
             self.ids.told_cost(&access.arrival, first_byte);
         }
     }
 
     /// What an access does next when one of its executions has ended.
-    fn follow(&mut self, turn: &mut Turn, id: &Id, route: &Route, sent: Duration, ended: &Ended) {
+    fn follow(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration, ended: &Ended) {
         use Outcome::*;
+        let Some(access) = self.accesses.get(id) else { return };
+        let filling = access.executions[n].filling;
+        let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
+        self.learn(sent, turn.now, id, route, filling, ended);
+        if filling {
+            // One whose server or source is dead says nothing of how many the links bear.
+            let dead = ended.outcome == Cancelled || ended.remark == Remark::SourceUnreached;
+            self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
+        }
         let Some(access) = self.accesses.get_mut(id) else { return };
         if matches!(ended.outcome, Error | TimedOut | Broken | Cancelled) && access.ran.is_none() {
             access.ran = Some((sent, route.server.clone()));
@@ -871,18 +804,14 @@
         if access.ended || access.begun {
             return;
         }
-        // The source alone failed: the cache is asked again, with another.
-        let source_only = matches!(
-            ended.remark,
-            Remark::SourceRefused | Remark::SourceUnreached | Remark::SourceLacks | Remark::OriginFailed
-        );
-        match &route.source {
-            Some(source) if source_only => access.failed.push(source.clone()),
-            Some(source) if ended.outcome == Full && ended.remark == Remark::None => {
-                access.failed.extend([route.server.clone(), source.clone()]);
-            }
-            _ if ended.outcome == Cancelled => {}
-            _ => access.failed.push(route.server.clone()),
+        // Where the source alone failed the cache is asked again, with another.
+        use Remark::{OriginFailed, SourceLacks, SourceRefused, SourceUnreached};
+        let source_failed =
+            matches!(ended.remark, SourceRefused | SourceUnreached | SourceLacks | OriginFailed);
+        let either = ended.outcome == Full && ended.remark == Remark::None;
+        let blamed = route.ends().skip(usize::from(source_failed)).take(if either { 2 } else { 1 });
+        if ended.outcome != Cancelled {
+            access.failed.extend(blamed.cloned());
         }
         if self.spare < 1.0 || turn.now >= access.due {
             return self.end(turn, id);
@@ -894,32 +823,36 @@
     /// The final answer where none was honoured: a decline where a retry is safe, else a give-up.
     fn end(&mut self, turn: &mut Turn, id: &Id) {
         let Some(access) = self.accesses.get(id).filter(|a| !a.ended) else { return };
-        self.ids.unmet(&access.arrival);
-        let effect = self.categories[access.arrival.category].effect;
+        self.ids.known(&access.arrival).into_iter().for_each(|seen| seen.unmet = true);
+        let effect = self.figures.categories[access.arrival.category].effect;
         let certain = access.open == 0 || effect == Effect::Idempotent;
         if certain && self.may_repeat(turn.now, access, None) {
-            turn.out.decline(id, self.longest_advice.map(|most| most.min(Duration::from_millis(200))));
+            turn.out.decline(id, self.figures.advice);
         } else {
             turn.out.give_up(id);
         }
-        if let Some(access) = self.accesses.get_mut(id) {
-            access.ended = true;
-        }
+        self.accesses.get_mut(id).into_iter().for_each(|access| access.ended = true);
         self.close(turn, id);
     }
 
     /// An access is over: what is still out for it is called off, and it is forgotten once all has come back.
     fn close(&mut self, turn: &mut Turn, id: &Id) {
         let Some(access) = self.accesses.get_mut(id) else { return };
-        let out = |e: &Execution| e.next.is_some() && !e.called_off;
-        for (n, execution) in
-            access.executions.iter_mut().enumerate().filter(|(_, e)| self.may_cancel && out(e))
-        {
-            execution.called_off = true;
-            turn.out.cancel(id, n);
+        for (n, execution) in access.executions.iter_mut().enumerate() {
+            if self.figures.may_cancel && execution.next.is_some() && !execution.called_off {
+                execution.called_off = true;
+                turn.out.cancel(id, n);
+            }
         }
         if access.open == 0 {
             self.accesses.remove(id);
         }
     }
 }
+
+impl Route {
+    /// The server and, where it is another, the source.
+    fn ends(&self) -> impl Iterator<Item = &Id> {
+        [Some(&self.server), self.source.as_ref().filter(|s| **s != self.server)].into_iter().flatten()
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -58,7 +58,7 @@
 }
 
 /// The bounds within which something that has just started is not pushed over.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct ColdStart {
     /// Share of its capacity at its start, at least.
     pub from: f64,
@@ -118,8 +118,6 @@
     pub max_executions: usize,
     pub second_copies: bool,
     pub may_cancel: bool,
-    pub may_probe: bool,
-    pub may_tell: bool,
     /// The longest wait that clients heed after a decline; none: they are not told.
     pub longest_advice: Option<Duration>,
     pub cold_cache: ColdStart,
@@ -141,15 +139,16 @@
     pub ask_within: Duration,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
+    #[default]
     Active,
     Draining,
     Gone,
 }
 
 /// One entry of the list of cache servers, parents and origin.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Member {
     pub server: Id,
     pub location: usize,
@@ -171,7 +170,7 @@
 }
 
 /// An access as it comes in.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Arrival {
     pub id: Id,
     pub category: usize,
@@ -271,8 +270,6 @@
     fn cancel(&mut self, access: &Id, execution: usize);
     /// Asks for a call of `wake` with this mark at or after `at`.
     fn wake_at(&mut self, at: Duration, mark: u64);
-    fn probe(&mut self, server: &Id);
-    fn tell(&mut self, router: Option<u64>, text: &[u8]);
+    /// Asks for the changes of the list, where they come only to those who ask.
     fn watch_list(&mut self);
-    fn log(&mut self, text: &str);
 }
