--- a/crates/wirehost/src/start.rs
+++ b/crates/wirehost/src/start.rs
@@ -119,7 +119,7 @@
         drain_grace: span_of(&rules, "DrainGrace")?,
         purge_grace: span_of(&family, "ObeyAfter")?,
         purge_done: span_of(&family, "PurgeDone")?,
-        fills: !family.is_empty(),
+
         pass_through: flag(&family, "PassThroughOk")?,
         joins: flag(&family, "SharesFills")?,
         siblings: match text(&family, "Neighbours")? {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -76,13 +76,12 @@
 }
 
 impl<W: Write> Outlet for Lines<'_, W> {
-    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: Option<&Fill>) {
-        let mut fields = json!({"OpId": &**access, "Server": &**server, "GiveUpAfter": ms(limit)});
-        let Some(fill) = fill else { return self.put("HandOff", fields) };
+    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: &Fill) {
         let manner = u8::from(fill.join)
             | u8::from(fill.only_held) << 1
             | u8::from(!fill.parent_keeps) << 2
             | u8::from(fill.renew) << 3;
+        let mut fields = json!({"OpId": &**access, "Server": &**server, "GiveUpAfter": ms(limit)});
         fields["Source"] = (*fill.source).into();
         fields["Rank"] = fill.rank.into();
         fields["Manner"] = manner.into();
--- a/src/control.rs
+++ b/src/control.rs
@@ -22,17 +22,14 @@
 const SCORES_BEFORE_RANKS: usize = 256;
 /// How many scores and sightings count as recent.
 const RECENT: usize = 1024;
-/// A member holding over this multiple of the average bytes under way is passed over (design page), once it
-/// holds this multiple of what its link carries at full pace: before that a move costs a copy for nothing.
+/// A member holding over this multiple of the average bytes under way is passed over (design page).
 const CROWDED: f64 = 2.0;
-const CROWDED_FROM: f64 = 2.0;
 
 /// Sequential test: chance of a failure at a sound and at a broken server, and the odds that decide.
 const SOUND_FAILS: f64 = 0.05;
 const BROKEN_FAILS: f64 = 0.5;
 const DECIDING_ODDS: f64 = 100.0;
-/// How slowly the usual share of failures of a tier follows.
-const USUAL_OVER: f64 = 32.0;
+
 /// A server set aside gets one execution in this time; halved by each success, doubled by each failure.
 const TRICKLE_FIRST: Duration = Duration::from_millis(1000);
 const TRICKLE_SLOWEST: Duration = Duration::from_millis(4000);
@@ -45,9 +42,7 @@
 /// What an answer takes beside its sending time, and the multiple of both after which it is looked into.
 const OVERHEAD: Duration = Duration::from_millis(100);
 const PATIENCE: f64 = 3.0;
-/// Further executions are paid from a store that each access fills a little.
-const SPARE_PER_ACCESS: f64 = 0.2;
-const SPARE_MOST: f64 = 40.0;
+
 /// Fills under way: one more allowed for as many as end in time, a cut at most this often when one is late.
 const FILL_CUT: f64 = 0.9;
 const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
@@ -160,7 +155,7 @@
 
     fn told_cost(&mut self, arrival: &Arrival, first_byte: Duration) {
         let cost = (first_byte.as_secs_f64() * 1e3).max(1.0);
-        self.usual_cost = Some(self.usual_cost.map_or(cost, |usual| usual + (cost - usual) / USUAL_OVER));
+        self.usual_cost = Some(self.usual_cost.map_or(cost, |usual| usual + (cost - usual) / 32.0));
         self.known(arrival).into_iter().for_each(|seen| seen.cost = Some(cost));
     }
 }
@@ -202,13 +197,10 @@
         self.aside.as_ref().is_none_or(|trickle| now >= trickle.due)
     }
 
-    /// One step of the sequential test, against what is usual in its tier: a trouble that strikes all alike
-    /// lies behind them, and setting them aside would only scatter the objects over caches without copies.
-    /// `weight` is how much of the outcome is laid to this server.
-    fn judge(&mut self, now: Duration, failed: bool, weight: f64, usual: f64) {
-        let sound = usual.clamp(SOUND_FAILS, 0.95);
-        let broken = BROKEN_FAILS.max((1.0 + sound) / 2.0);
-        let step = if failed { broken / sound } else { (1.0 - broken) / (1.0 - sound) };
+    /// One step of the sequential test; `weight` is how much of the outcome is laid to this server.
+    fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
+        let step =
+            if failed { BROKEN_FAILS / SOUND_FAILS } else { (1.0 - BROKEN_FAILS) / (1.0 - SOUND_FAILS) };
         self.doubt = (self.doubt + weight * step.ln()).clamp(0.0, DECIDING_ODDS.ln());
         let spacing = match &self.aside {
             None if self.doubt < DECIDING_ODDS.ln() => return,
@@ -236,7 +228,7 @@
 #[derive(Clone)]
 struct Route {
     server: Id,
-    source: Option<Id>,
+    source: Id,
 }
 
 #[derive(Default)]
@@ -278,7 +270,7 @@
     may_cancel: bool,
     advice: Option<Duration>,
     purge_done: Duration,
-    fills: bool,
+
     pass_through: bool,
     joins: bool,
 }
@@ -298,9 +290,7 @@
     purged_groups: HashMap<u64, Duration>,
     /// By category: mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
-    spare: f64,
-    /// By tier: share of outcomes that are failures, lately.
-    usual_fails: [f64; 3],
+
     /// Executions out that are likely to be fills, how many may be, when that was last cut, who waits.
     fills_out: f64,
     fills_most: f64,
@@ -313,7 +303,7 @@
         let routers_here = told.routers_at.get(told.location).copied().unwrap_or(told.routers).max(1) as f64;
         let margin = if told.hints == Hints::Nominal { COLD_MARGIN } else { COLD_MARGIN_ROUGH };
         let routers = told.routers.max(1) as f64;
-        let at_cache = if told.fills { routers_here } else { routers };
+
         if told.list_on_request {
             out.watch_list();
         }
@@ -324,14 +314,14 @@
             kb_per_s: if told.client_kb_per_s > 0.0 { told.client_kb_per_s } else { f64::INFINITY },
             parent_model: told.parent_model,
             origin_model: told.origin_model,
-            cold: [(told.cold_cache, margin / at_cache), (told.cold_parent, margin / routers)],
+            cold: [(told.cold_cache, margin / routers_here), (told.cold_parent, margin / routers)],
             routers_here,
             most_executions: told.max_executions.max(1),
             second_copies: told.second_copies,
             may_cancel: told.may_cancel,
             advice: told.longest_advice.map(|longest| longest.min(ADVICE)),
             purge_done: told.purge_done,
-            fills: told.fills,
+
             pass_through: told.pass_through,
             joins: told.joins,
         };
@@ -348,8 +338,7 @@
             last_mark: 0,
             purged_objects: HashMap::new(),
             purged_groups: HashMap::new(),
-            spare: SPARE_MOST,
-            usual_fails: [0.0; 3],
+
             fills_out: 0.0,
             fills_most: 0.0,
             fills_cut: now,
@@ -406,7 +395,7 @@
         let id = arrival.id.clone();
         let access = Access { arrival, rank, work, soft, due, ..Access::default() };
         self.accesses.insert(id.clone(), access);
-        self.spare = (self.spare + SPARE_PER_ACCESS).min(SPARE_MOST);
+
         let late = id.clone();
         let at_due = move |router: &mut Router, turn: &mut Turn| {
             if router.accesses.get(&late).is_some_and(|a| !a.begun) {
@@ -482,9 +471,9 @@
     /// The cache is not known to hold it: it would go through the location's link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
-        let kept = self.figures.fills && self.figures.categories[access.arrival.category].cacheable;
+        let kept = self.figures.categories[access.arrival.category].cacheable;
         let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
-        kept && route.source.as_ref() != Some(&route.server) && held != Some(&route.server)
+        kept && route.source != route.server && held != Some(&route.server)
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
@@ -534,9 +523,7 @@
     // ---- Where to ----
 
     fn serves(&self, server: &Server, tier: Tier) -> bool {
-        let near =
-            tier != Tier::Cache || !self.figures.fills || server.member.location == self.figures.location;
-        server.tier == tier && near
+        server.tier == tier && (tier != Tier::Cache || server.member.location == self.figures.location)
     }
 
     /// The first that the hash prefers, moving on when one fails, is full or holds over twice the average.
@@ -552,9 +539,7 @@
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
-        let crowded = |s: &Server| {
-            s.kb_under_way > CROWDED * average && s.under_way as f64 >= CROWDED_FROM * s.member.capacity
-        };
+        let crowded = |s: &Server| s.kb_under_way > CROWDED * average;
         // What strikes most of a tier lies behind it: only who is missing is then passed over, since to crowd
         // the few that seem sound, or the origin, would lose the copies that the others still hold.
         let most = open.iter().filter(|(_, s)| s.sound(now)).count() * 2 < open.len();
@@ -566,10 +551,10 @@
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
         let access = self.accesses.get(id)?;
         let name = |s: &Server| s.member.server.clone();
-        let straight = |s: &Server| Route { server: name(s), source: self.figures.fills.then(|| name(s)) };
+        let straight = |s: &Server| Route { server: name(s), source: name(s) };
         let origin = || self.pick(now, Tier::Origin, access);
         let parent = || self.pick(now, Tier::Parent, access).filter(|s| s.sound(now) || !s.missing);
-        let passes = self.figures.fills && self.figures.pass_through;
+        let passes = self.figures.pass_through;
         // What no cache may keep runs at the origin: the caches on the way could only fail it.
         if passes && !self.figures.categories[access.arrival.category].cacheable && origin().is_some() {
             return origin().map(straight);
@@ -577,11 +562,11 @@
         match self.pick(now, Tier::Cache, access) {
             // With no source left the cache itself is named: a plain send would bear no age, and could be
             // answered from a copy older than a purge.
-            Some(cache) if self.figures.fills => {
+            Some(cache) => {
                 let source = parent().or_else(origin).unwrap_or(cache);
-                Some(Route { server: name(cache), source: Some(name(source)) })
+                Some(Route { server: name(cache), source: name(source) })
             }
-            Some(cache) => Some(Route { server: name(cache), source: None }),
+
             None if passes => parent().or_else(origin).map(straight),
             None => None,
         }
@@ -656,7 +641,7 @@
         let filling = self.likely_fill(id, &route);
         let Some(access) = self.accesses.get(id) else { return false };
         let Some(server) = self.servers.get(&route.server) else { return false };
-        let source = route.source.as_ref().and_then(|s| self.servers.get(s)).unwrap_or(server);
+        let source = self.servers.get(&route.source).unwrap_or(server);
         let category = &self.figures.categories[access.arrival.category];
         let idempotent = category.effect == Effect::Idempotent;
         let lawful = !access.ended
@@ -669,15 +654,15 @@
         if !lawful {
             return false;
         }
-        let fill = route.source.clone().map(|source| Fill {
-            source,
+        let fill = Fill {
+            source: route.source.clone(),
             rank: if server.tier == Tier::Cache { access.rank } else { 0 },
             oldest: self.oldest(now, access),
             join: self.figures.joins,
             only_held: false,
             parent_keeps: true,
             renew: false,
-        });
+        };
         let watched = idempotent && self.figures.may_cancel && !category.streamed;
         let (kb, limit) = (access.arrival.kb, access.due - now);
         let look_at = (OVERHEAD + access.work).mul_f64(PATIENCE);
@@ -691,7 +676,7 @@
             server.under_way += 1;
             server.aside.iter_mut().for_each(|trickle| trickle.due = now + trickle.spacing);
         }
-        turn.out.execute(id, &route.server, limit, fill.as_ref());
+        turn.out.execute(id, &route.server, limit, &fill);
         self.fills_out += f64::from(u8::from(filling));
         let Some(access) = self.accesses.get_mut(id) else { return false };
         access.open += 1;
@@ -718,14 +703,14 @@
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended && !a.begun) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
         // A copy would have been sent by now: it is being filled after all.
-        if self.figures.fills && !std::mem::replace(&mut execution.filling, true) {
+        if !std::mem::replace(&mut execution.filling, true) {
             self.fills_out += 1.0;
         }
         for name in route.ends() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
                 // Behind a source there may be another that is slow: only a cache is taken for missing.
                 server.missing |= *name == route.server;
-                server.judge(turn.now, true, 1.0, self.usual_fails[server.tier as usize]);
+                server.judge(turn.now, true, 1.0);
                 access.failed.push(name.clone());
                 execution.called_off = true;
                 return turn.out.cancel(id, n);
@@ -770,11 +755,7 @@
             if weight > 0.0 {
                 // Who cannot be reached is missing whatever the others do.
                 server.missing |= direct;
-                let usual = &mut self.usual_fails[server.tier as usize];
-                server.judge(now, failed, weight, if direct { 0.0 } else { *usual });
-                if !direct {
-                    *usual += (f64::from(u8::from(failed)) - *usual) * weight / USUAL_OVER;
-                }
+                server.judge(now, failed, weight);
             }
         }
         if !failed && let Some(seen) = self.ids.known(&access.arrival) {
@@ -813,10 +794,7 @@
         if ended.outcome != Cancelled {
             access.failed.extend(blamed.cloned());
         }
-        if self.spare < 1.0 || turn.now >= access.due {
-            return self.end(turn, id);
-        }
-        self.spare -= 1.0;
+
         self.advance(turn, id);
     }
 
@@ -853,6 +831,6 @@
 impl Route {
     /// The server and, where it is another, the source.
     fn ends(&self) -> impl Iterator<Item = &Id> {
-        [Some(&self.server), self.source.as_ref().filter(|s| **s != self.server)].into_iter().flatten()
+        [Some(&self.server), Some(&self.source).filter(|s| **s != self.server)].into_iter().flatten()
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -126,8 +126,6 @@
     pub purge_grace: Duration,
     /// No older copy is left anywhere after this long.
     pub purge_done: Duration,
-    /// There are fills, sources and ranks at all; otherwise executions name a cache server only.
-    pub fills: bool,
     /// Parents and origin take executions too.
     pub pass_through: bool,
     pub joins: bool,
@@ -262,7 +260,7 @@
 /// Through this a router acts. Each call takes effect at once, in the order made.
 pub trait Outlet {
     /// One execution, for at most `limit`; with no fill, the server is asked for what it holds.
-    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: Option<&Fill>);
+    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: &Fill);
     /// Final answer: declined. Assures the client that trying again is safe.
     fn decline(&mut self, access: &Id, advice: Option<Duration>);
     /// Final answer: given up. Assures nothing.
