--- a/src/control.rs
+++ b/src/control.rs
@@ -110,6 +110,13 @@
     usual_cost: Option<f64>,
 }
 
+impl Default for IdList {
+    fn default() -> IdList {
+        let (scores, values) = (Recent::default(), Recent::default());
+        IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values, usual_cost: None }
+    }
+}
+
 impl IdList {
     /// Counts a sighting and gives the rank at which a copy is kept; 0: passed unkept.
     fn sight(&mut self, now: Duration, arrival: &Arrival, fresh: Option<Duration>) -> u8 {
@@ -254,32 +261,29 @@
 
 // ---- The router ----
 
-/// What a router derives from what it is told at its start.
-struct Figures {
+/// The instance: one router of one location.
+#[derive(Default)]
+pub struct Router {
+    // What it derives from what it is told at its start.
     location: usize,
     categories: Vec<Category>,
     margin: Duration,
     kb_per_s: f64,
     parent_model: Option<usize>,
     origin_model: Option<usize>,
-    /// By tier: the bounds of a cold start, and this router's share of what a cold server bears.
+    /// Of caches and of parents: the bounds of a cold start, and this router's share of what one bears.
     cold: [(ColdStart, f64); 2],
     routers_here: f64,
     most_executions: usize,
     second_copies: bool,
     may_cancel: bool,
     advice: Option<Duration>,
+    list_wait: Duration,
     purge_done: Duration,
-
     pass_through: bool,
     joins: bool,
-}
-
-/// The instance: one router of one location.
-pub struct Router {
-    figures: Figures,
+    // What it has seen.
     started: Duration,
-    chance: fastrand::Rng,
     servers: BTreeMap<Id, Server>,
     ids: IdList,
     accesses: HashMap<Id, Access>,
@@ -290,7 +294,6 @@
     purged_groups: HashMap<u64, Duration>,
     /// By category: mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
-
     /// Executions out that are likely to be fills, how many may be, when that was last cut, who waits.
     fills_out: f64,
     fills_most: f64,
@@ -302,59 +305,45 @@
     pub fn start(now: Duration, seed: u64, told: &Deployment, out: &mut dyn Outlet) -> Router {
         let routers_here = told.routers_at.get(told.location).copied().unwrap_or(told.routers).max(1) as f64;
         let margin = if told.hints == Hints::Nominal { COLD_MARGIN } else { COLD_MARGIN_ROUGH };
-        let routers = told.routers.max(1) as f64;
-
         if told.list_on_request {
             out.watch_list();
         }
-        let figures = Figures {
+        Router {
             location: told.location,
             categories: told.categories.clone(),
             margin: told.tick * 2,
             kb_per_s: if told.client_kb_per_s > 0.0 { told.client_kb_per_s } else { f64::INFINITY },
             parent_model: told.parent_model,
             origin_model: told.origin_model,
-            cold: [(told.cold_cache, margin / routers_here), (told.cold_parent, margin / routers)],
+            cold: [
+                (told.cold_cache, margin / routers_here),
+                (told.cold_parent, margin / told.routers.max(1) as f64),
+            ],
             routers_here,
             most_executions: told.max_executions.max(1),
             second_copies: told.second_copies,
             may_cancel: told.may_cancel,
             advice: told.longest_advice.map(|longest| longest.min(ADVICE)),
+            // Routers that lost the list together should not all ask for it at once.
+            list_wait: Duration::from_millis(fastrand::Rng::with_seed(seed).u64(1000..1500)),
             purge_done: told.purge_done,
-
             pass_through: told.pass_through,
             joins: told.joins,
-        };
-        let (scores, values) = (Recent::default(), Recent::default());
-        Router {
-            mean_work: vec![(0.0, 0.0); figures.categories.len()],
-            figures,
             started: now,
-            chance: fastrand::Rng::with_seed(seed),
-            servers: BTreeMap::new(),
-            ids: IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values, usual_cost: None },
-            accesses: HashMap::new(),
-            thens: HashMap::new(),
-            last_mark: 0,
-            purged_objects: HashMap::new(),
-            purged_groups: HashMap::new(),
-
-            fills_out: 0.0,
-            fills_most: 0.0,
-            fills_cut: now,
-            waiting: Vec::new(),
+            mean_work: vec![(0.0, 0.0); told.categories.len()],
+            ..Router::default()
         }
     }
 
     pub fn knows_category(&self, category: usize) -> bool {
-        category < self.figures.categories.len()
+        category < self.categories.len()
     }
 
     /// The list, or changes to it. A server that started anew begins with a clean record.
     pub fn list(&mut self, now: Duration, kind: ListKind, members: &[Member], out: &mut dyn Outlet) {
         if kind == ListKind::Failed {
             // Without a subscription a drain would never be heard of.
-            let wait = Duration::from_millis(self.chance.u64(1000..1500));
+            let wait = self.list_wait;
             return self.after(&mut Turn { now, out }, wait, Box::new(|_, turn| turn.out.watch_list()));
         }
         if kind != ListKind::Changes {
@@ -363,8 +352,8 @@
         }
         for member in members {
             let tier = match Some(member.model) {
-                model if model == self.figures.parent_model => Tier::Parent,
-                model if model == self.figures.origin_model => Tier::Origin,
+                model if model == self.parent_model => Tier::Parent,
+                model if model == self.origin_model => Tier::Origin,
                 _ => Tier::Cache,
             };
             let server = self.servers.entry(member.server.clone()).or_default();
@@ -374,9 +363,10 @@
             (server.member, server.tier) = (member.clone(), tier);
         }
         if self.fills_most == 0.0 {
-            let here = self.servers.values().filter(|s| self.serves(s, Tier::Cache));
+            let here =
+                self.servers.values().filter(|s| s.tier == Tier::Cache && s.member.location == self.location);
             let capacity: f64 = here.map(|s| s.member.capacity).sum();
-            self.fills_most = (capacity / self.figures.routers_here).max(FILLS_LEAST);
+            self.fills_most = (capacity / self.routers_here).max(FILLS_LEAST);
         }
         self.servers.retain(|_, s| s.member.standing != Standing::Gone || s.under_way > 0);
     }
@@ -384,13 +374,13 @@
     /// An access comes in: it gets its one final answer by `due` whatever else happens.
     pub fn access(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Outlet) {
         let turn = &mut Turn { now, out };
-        let category = &self.figures.categories[arrival.category];
+        let category = &self.categories[arrival.category];
         let rank = if category.cacheable { self.ids.sight(now, &arrival, category.fresh) } else { 0 };
-        let work = Duration::from_secs_f64(arrival.kb / self.figures.kb_per_s);
+        let work = Duration::from_secs_f64(arrival.kb / self.kb_per_s);
         let (mean, of) = &mut self.mean_work[arrival.category];
         *of = (*of + 1.0).min(256.0);
         *mean += (work.as_secs_f64() - *mean) / *of;
-        let due = now + arrival.left.saturating_sub(self.figures.margin);
+        let due = now + arrival.left.saturating_sub(self.margin);
         let soft = now + category.soft_limit + work.mul_f64(category.soft_stretch);
         let id = arrival.id.clone();
         let access = Access { arrival, rank, work, soft, due, ..Access::default() };
@@ -432,7 +422,7 @@
 
     /// Remembered until no older copy can be left anywhere.
     pub fn purged(&mut self, now: Duration, object: Option<Id>, group: u64, ago: Duration) {
-        let (at, left) = (now.saturating_sub(ago), self.figures.purge_done + self.figures.margin);
+        let (at, left) = (now.saturating_sub(ago), self.purge_done + self.margin);
         self.purged_objects.retain(|_, purge| now < *purge + left);
         self.purged_groups.retain(|_, purge| now < *purge + left);
         let latest = match object {
@@ -471,7 +461,7 @@
     /// The cache is not known to hold it: it would go through the location's link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
-        let kept = self.figures.categories[access.arrival.category].cacheable;
+        let kept = self.categories[access.arrival.category].cacheable;
         let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
         kept && route.source != route.server && held != Some(&route.server)
     }
@@ -506,7 +496,7 @@
             self.fills_cut = turn.now;
         }
         while self.fills_out < self.fills_most {
-            let (accesses, categories) = (&self.accesses, &self.figures.categories);
+            let (accesses, categories) = (&self.accesses, &self.categories);
             self.waiting.retain(|id| accesses.get(id).is_some_and(|a| a.waits && !a.ended));
             let gain = |place: &usize| {
                 let access = &accesses[&self.waiting[*place]];
@@ -522,10 +512,6 @@
 
     // ---- Where to ----
 
-    fn serves(&self, server: &Server, tier: Tier) -> bool {
-        server.tier == tier && (tier != Tier::Cache || server.member.location == self.figures.location)
-    }
-
     /// The first that the hash prefers, moving on when one fails, is full or holds over twice the average.
     /// Each member draws its own number for an object, so that one that fails moves only its own objects, and
     /// all routers agree on the order.
@@ -535,7 +521,8 @@
             let hash = xxh3_64_with_seed(access.arrival.object.as_bytes(), seed);
             -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
         };
-        let members = self.servers.values().filter(|s| self.serves(s, tier) && self.may_take(now, s, access));
+        let near = |s: &Server| s.tier == tier && (tier != Tier::Cache || s.member.location == self.location);
+        let members = self.servers.values().filter(|s| near(s) && self.may_take(now, s, access));
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
@@ -554,9 +541,9 @@
         let straight = |s: &Server| Route { server: name(s), source: name(s) };
         let origin = || self.pick(now, Tier::Origin, access);
         let parent = || self.pick(now, Tier::Parent, access).filter(|s| s.sound(now) || !s.missing);
-        let passes = self.figures.pass_through;
+        let passes = self.pass_through;
         // What no cache may keep runs at the origin: the caches on the way could only fail it.
-        if passes && !self.figures.categories[access.arrival.category].cacheable && origin().is_some() {
+        if passes && !self.categories[access.arrival.category].cacheable && origin().is_some() {
             return origin().map(straight);
         }
         match self.pick(now, Tier::Cache, access) {
@@ -581,7 +568,7 @@
         if server.member.standing != Standing::Active {
             return false;
         }
-        let Some((cold, share)) = self.figures.cold.get(server.tier as usize) else { return true };
+        let Some((cold, share)) = self.cold.get(server.tier as usize) else { return true };
         let Some(age) = server.member.started.map(|at| now.saturating_sub(at)) else { return true };
         if age >= cold.warm_within + cold.span {
             return true;
@@ -608,7 +595,7 @@
     /// Rule 2: may this access run again, there, or (nowhere named) be declined as safe to repeat?
     fn may_repeat(&self, now: Duration, access: &Access, at: Option<&Server>) -> bool {
         let Some((sent, first)) = &access.ran else { return true };
-        let category = &self.figures.categories[access.arrival.category];
+        let category = &self.categories[access.arrival.category];
         let same = |of: fn(&Member) -> u64| {
             let first = self.servers.get(first).map(|s| of(&s.member));
             at.is_some_and(|s| Some(of(&s.member)) == first)
@@ -617,7 +604,7 @@
             (Effect::Idempotent, _) => true,
             (Effect::Unrepeatable, _) => false,
             (Effect::Deduplicated, Group::All) if at.is_none() => true,
-            (Effect::Deduplicated, _) if now + self.figures.margin >= *sent + category.window => false,
+            (Effect::Deduplicated, _) if now + self.margin >= *sent + category.window => false,
             (Effect::Deduplicated, Group::All) => true,
             (Effect::Deduplicated, Group::Location) => same(|m| m.location as u64),
             (Effect::Deduplicated, Group::Cohort) => same(|m| m.cohort),
@@ -626,10 +613,10 @@
 
     /// Rule 5: the oldest copy that will do. Counted from the purge, and never zero, which would mean any age.
     fn oldest(&self, now: Duration, access: &Access) -> Option<Duration> {
-        let fresh = self.figures.categories[access.arrival.category].fresh;
+        let fresh = self.categories[access.arrival.category].fresh;
         let object = self.purged_objects.get(&access.arrival.object);
         let purge = object.max(self.purged_groups.get(&access.arrival.group));
-        let left = self.figures.purge_done + self.figures.margin;
+        let left = self.purge_done + self.margin;
         let current = purge.filter(|at| now < **at + left);
         let since = current.map(|at| now.saturating_sub(*at).max(Duration::from_micros(1)));
         since.into_iter().chain(fresh).min()
@@ -642,12 +629,12 @@
         let Some(access) = self.accesses.get(id) else { return false };
         let Some(server) = self.servers.get(&route.server) else { return false };
         let source = self.servers.get(&route.source).unwrap_or(server);
-        let category = &self.figures.categories[access.arrival.category];
+        let category = &self.categories[access.arrival.category];
         let idempotent = category.effect == Effect::Idempotent;
         let lawful = !access.ended
             && now < access.due
-            && access.executions.len() < self.figures.most_executions
-            && (access.open == 0 || idempotent && self.figures.second_copies)
+            && access.executions.len() < self.most_executions
+            && (access.open == 0 || idempotent && self.second_copies)
             && self.may_repeat(now, access, Some(server))
             && self.may_take(now, server, access)
             && self.may_take(now, source, access);
@@ -658,16 +645,16 @@
             source: route.source.clone(),
             rank: if server.tier == Tier::Cache { access.rank } else { 0 },
             oldest: self.oldest(now, access),
-            join: self.figures.joins,
+            join: self.joins,
             only_held: false,
             parent_keeps: true,
             renew: false,
         };
-        let watched = idempotent && self.figures.may_cancel && !category.streamed;
+        let watched = idempotent && self.may_cancel && !category.streamed;
         let (kb, limit) = (access.arrival.kb, access.due - now);
         let look_at = (OVERHEAD + access.work).mul_f64(PATIENCE);
         let weights = [server, source].map(|s| self.weight(s, access));
-        let span = self.figures.cold[0].0.span.max(self.figures.cold[1].0.span);
+        let span = self.cold[0].0.span.max(self.cold[1].0.span);
         for (name, weight) in route.ends().zip(weights) {
             let Some(server) = self.servers.get_mut(name) else { continue };
             server.sent.retain(|(at, _)| *at + span > now);
@@ -802,10 +789,10 @@
     fn end(&mut self, turn: &mut Turn, id: &Id) {
         let Some(access) = self.accesses.get(id).filter(|a| !a.ended) else { return };
         self.ids.known(&access.arrival).into_iter().for_each(|seen| seen.unmet = true);
-        let effect = self.figures.categories[access.arrival.category].effect;
+        let effect = self.categories[access.arrival.category].effect;
         let certain = access.open == 0 || effect == Effect::Idempotent;
         if certain && self.may_repeat(turn.now, access, None) {
-            turn.out.decline(id, self.figures.advice);
+            turn.out.decline(id, self.advice);
         } else {
             turn.out.give_up(id);
         }
@@ -817,7 +804,7 @@
     fn close(&mut self, turn: &mut Turn, id: &Id) {
         let Some(access) = self.accesses.get_mut(id) else { return };
         for (n, execution) in access.executions.iter_mut().enumerate() {
-            if self.figures.may_cancel && execution.next.is_some() && !execution.called_off {
+            if self.may_cancel && execution.next.is_some() && !execution.called_off {
                 execution.called_off = true;
                 turn.out.cancel(id, n);
             }
