--- a/src/control.rs
+++ b/src/control.rs
@@ -96,9 +96,8 @@
     rank: u8,
     /// Its access was not honoured: the client's own retry is no new sighting.
     unmet: bool,
-    /// The cache that last answered from a copy of it, or was told to keep one; the one that now fills it.
+    /// The cache that last answered from a copy of it, or was told to keep one.
     held: Option<Id>,
-    filled_at: Option<Id>,
 }
 
 /// The recency-ordered list of ids, and the recent values that a sighting is judged against.
@@ -459,17 +458,12 @@
         }
     }
 
-    /// The cache is not known to hold it, nor to be filling it for others to join: it would take a fill of its
-    /// own through the location's link.
+    /// The cache is not known to hold it: it would go through the location's link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
-        let cacheable = self.categories[access.arrival.category].cacheable;
-        let seen = self.ids.known(&access.arrival);
-        let there = seen.is_some_and(|seen| {
-            let joined = seen.filled_at.as_ref().filter(|_| self.joins);
-            [seen.held.as_ref(), joined].contains(&Some(&route.server))
-        });
-        cacheable && route.source != route.server && !there
+        let kept = self.categories[access.arrival.category].cacheable;
+        let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
+        kept && route.source != route.server && held != Some(&route.server)
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
@@ -511,26 +505,11 @@
             let best = (0..self.waiting.len()).max_by(|a, b| gain(a).total_cmp(&gain(b)));
             let Some(best) = best else { return };
             let id = self.waiting.remove(best);
-            self.resume(turn, &id);
+            self.accesses.get_mut(&id).into_iter().for_each(|a| a.waits = false);
+            self.advance(turn, &id);
         }
     }
 
-    fn resume(&mut self, turn: &mut Turn, id: &Id) {
-        self.accesses.get_mut(id).into_iter().for_each(|a| a.waits = false);
-        self.advance(turn, id);
-    }
-
-    /// A fill began that others may join, or ended with a copy kept: who waits for the same goes with it.
-    fn resume_same(&mut self, turn: &mut Turn, object: &Id, part: u64) {
-        let accesses = &self.accesses;
-        let same =
-            |id: &Id| accesses.get(id).is_some_and(|a| a.arrival.object == *object && a.arrival.part == part);
-        let (go, stay) = std::mem::take(&mut self.waiting).into_iter().partition(same);
-        self.waiting = stay;
-        let go: Vec<Id> = go;
-        go.iter().for_each(|id| self.resume(turn, id));
-    }
-
     // ---- Where to ----
 
     /// The first that the hash prefers, moving on when one fails, is full or holds over twice the average.
@@ -643,6 +622,11 @@
         since.into_iter().chain(fresh).min()
     }
 
+    /// While the origin fails, what parents fetch from it only holds up what they have.
+    fn origin_aside(&self, now: Duration) -> bool {
+        self.servers.values().any(|s| s.tier == Tier::Origin && !s.sound(now))
+    }
+
     /// The gate: every execution passes here, and each rule is enforced here. False: not sent.
     fn send(&mut self, turn: &mut Turn, id: &Id, route: Route) -> bool {
         let now = turn.now;
@@ -667,7 +651,7 @@
             rank: if server.tier == Tier::Cache { access.rank } else { 0 },
             oldest: self.oldest(now, access),
             join: self.joins,
-            only_held: false,
+            only_held: source.tier == Tier::Parent && self.origin_aside(now),
             parent_keeps: true,
             renew: false,
         };
@@ -687,10 +671,6 @@
         turn.out.execute(id, &route.server, limit, &fill);
         self.fills_out += f64::from(u8::from(filling));
         let Some(access) = self.accesses.get_mut(id) else { return false };
-        let (object, part) = (access.arrival.object.clone(), access.arrival.part);
-        if filling && let Some(seen) = self.ids.known(&access.arrival) {
-            seen.filled_at = Some(route.server.clone());
-        }
         access.open += 1;
         let n = access.executions.len();
         let (looked_id, looked_route) = (id.clone(), route.clone());
@@ -703,9 +683,6 @@
             };
             self.after(turn, look_at, Box::new(look));
         }
-        if filling && self.joins {
-            self.resume_same(turn, &object, part);
-        }
         true
     }
 
@@ -773,11 +750,8 @@
                 server.judge(now, failed, weight);
             }
         }
-        if let Some(seen) = self.ids.known(&access.arrival) {
-            seen.filled_at = seen.filled_at.take().filter(|_| !filling);
-            if !failed {
-                seen.held = (hit || rank > 0).then(|| route.server.clone());
-            }
+        if !failed && let Some(seen) = self.ids.known(&access.arrival) {
+            seen.held = (hit || rank > 0).then(|| route.server.clone());
         }
         if let Some(first_byte) = ended.first_byte.filter(|_| !failed) {
             self.ids.told_cost(&access.arrival, first_byte);
@@ -788,14 +762,10 @@
     fn follow(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
-        let (filling, kept) = (access.executions[n].filling, access.rank > 0);
-        let (object, part) = (access.arrival.object.clone(), access.arrival.part);
+        let filling = access.executions[n].filling;
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
         self.learn(sent, turn.now, id, route, filling, ended);
         if filling {
-            if ended.outcome == Honoured && kept {
-                self.resume_same(turn, &object, part);
-            }
             // One whose server or source is dead says nothing of how many the links bear.
             let dead = ended.outcome == Cancelled || ended.remark == Remark::SourceUnreached;
             self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
@@ -807,6 +777,9 @@
         if access.ended || access.begun {
             return;
         }
+        if ended.outcome == Missing {
+            return self.end(turn, id);
+        }
         // Where the source alone failed the cache is asked again, with another.
         use Remark::{OriginFailed, SourceLacks, SourceRefused, SourceUnreached};
         let source_failed =
