--- a/src/control.rs
+++ b/src/control.rs
@@ -720,8 +720,10 @@
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
             (Honoured, _) => (1.0, if hit { 0.0 } else { 1.0 }),
             (Unreachable | Broken, _) => (1.0, 0.0),
-            (_, Remark::SourceUnreached | Remark::OriginFailed) => (0.0, 1.0),
-            (_, Remark::SourceRefused | Remark::NoFillPlace | Remark::SourceLacks) => (0.0, 0.0),
+            (_, Remark::SourceUnreached) => (0.0, 1.0),
+            (_, Remark::SourceRefused | Remark::NoFillPlace | Remark::SourceLacks | Remark::OriginFailed) => {
+                (0.0, 0.0)
+            }
             (Error | TimedOut, _) if filling => (0.5, 0.5),
             (Error | TimedOut, _) => (1.0, 0.0),
             (Full | Cancelled | NeverSent | Missing, _) => (0.0, 0.0),
@@ -750,6 +752,11 @@
                 server.judge(now, failed, weight);
             }
         }
+        // Behind a parent the origin is judged, where that is told.
+        if matches!(ended.remark, Remark::OriginFailed | Remark::FilledByOrigin) {
+            let origins = self.servers.values_mut().filter(|s| s.tier == Tier::Origin);
+            origins.for_each(|origin| origin.judge(now, failed, 1.0));
+        }
         if !failed && let Some(seen) = self.ids.known(&access.arrival) {
             seen.held = (hit || rank > 0).then(|| route.server.clone());
         }
@@ -767,7 +774,8 @@
         self.learn(sent, turn.now, id, route, filling, ended);
         if filling {
             // One whose server or source is dead says nothing of how many the links bear.
-            let dead = ended.outcome == Cancelled || ended.remark == Remark::SourceUnreached;
+            let dead =
+                matches!(ended.outcome, Cancelled | Missing) || ended.remark == Remark::SourceUnreached;
             self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         let Some(access) = self.accesses.get_mut(id) else { return };
