--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -166,6 +166,7 @@
 struct Hosted {
     router: Router,
     report: Vec<String>,
+    classes: usize,
 }
 
 impl Hosted {
@@ -223,8 +224,10 @@
         let now = self.now;
         if name == "Boot" {
             let options = f.get("Options").and_then(Value::as_object).ok_or("Options is not an object")?;
-            let router = Router::start(now, whole(f, "Salt")?, &start::deployment(options)?, out);
-            self.routers.insert(number_of, Hosted { router, report: start::report_fields(options) });
+            let told = start::deployment(options)?;
+            let router = Router::start(now, whole(f, "Salt")?, &told, out);
+            let (report, classes) = (start::report_fields(options), told.categories.len());
+            self.routers.insert(number_of, Hosted { router, report, classes });
             return out.failed.take().map_or(Ok(()), Err);
         }
         let hosted =
@@ -259,7 +262,7 @@
                     left: span(number(f, "Ttl")?),
                     repeated: flag(f, "Repeat")?,
                 };
-                if !hosted.router.knows_category(arrival.category) {
+                if arrival.category >= hosted.classes {
                     return Err(format!("Priority {} names no class", arrival.category));
                 }
                 hosted.router.access(now, arrival, out);
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,10 +4,10 @@
 //! `result`, `begun`, `left`, `purged`, `wake`), each with the time since the start and the outlet through
 //! which the router acts. The types of these calls and the outlet are in `interface.rs`.
 //!
-//! How it reads: constants; the id list (the design's mechanism); one server; one execution and one access;
-//! the router: calls, waiting, where to, the gate, what follows. `Router::send` is the gate that every
-//! execution passes: the five rules are enforced there. Each execution leaves a closure that is handed its
-//! result.
+//! In this order: constants; the id list (the design's mechanism); one server; one execution and one access;
+//! the router, with its calls, waiting, where to, the gate, what follows. `Router::send` is the gate that
+//! every execution passes: the five rules are enforced there. Each execution leaves a closure that is
+//! handed its result.
 
 use crate::interface::*;
 use lru::LruCache;
@@ -24,17 +24,14 @@
 const RECENT: usize = 1024;
 /// A member holding over this multiple of the average bytes under way is passed over (design page).
 const CROWDED: f64 = 2.0;
-
 /// Sequential test: chance of a failure at a sound and at a broken server, and the odds that decide.
 const SOUND_FAILS: f64 = 0.05;
 const BROKEN_FAILS: f64 = 0.5;
 const DECIDING_ODDS: f64 = 100.0;
-
 /// A server set aside gets one execution in this time; halved by each success, doubled by each failure.
 const TRICKLE_FIRST: Duration = Duration::from_millis(1000);
 const TRICKLE_SLOWEST: Duration = Duration::from_millis(4000);
 const TRICKLE_FULL: Duration = Duration::from_millis(50);
-
 /// Share of a cold server's budget that the routers together use; less where capacities are not exact.
 const COLD_MARGIN: f64 = 0.6;
 const COLD_MARGIN_ROUGH: f64 = 0.45;
@@ -106,14 +103,12 @@
     accesses: u64,
     scores: Recent,
     values: Recent,
-    /// Mean first-byte time told so far: stands in for an object's own.
-    usual_cost: Option<f64>,
 }
 
 impl Default for IdList {
     fn default() -> IdList {
         let (scores, values) = (Recent::default(), Recent::default());
-        IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values, usual_cost: None }
+        IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values }
     }
 }
 
@@ -133,7 +128,7 @@
         }
         let since = now.saturating_sub(seen.at).as_secs_f64();
         let refresh = fresh.map_or(0.0, |fresh| (since / fresh.as_secs_f64()).min(1.0));
-        let cost = seen.cost.or(self.usual_cost).unwrap_or(1.0);
+        let cost = seen.cost.unwrap_or(1.0);
         let value = cost * (1.0 - refresh) / (count - seen.count) as f64;
         let score = if value > 0.0 { arrival.kb / value } else { f64::INFINITY };
         let admitted =
@@ -159,12 +154,6 @@
     fn known(&mut self, arrival: &Arrival) -> Option<&mut Seen> {
         self.seen.peek_mut(&(arrival.object.clone(), arrival.part))
     }
-
-    fn told_cost(&mut self, arrival: &Arrival, first_byte: Duration) {
-        let cost = (first_byte.as_secs_f64() * 1e3).max(1.0);
-        self.usual_cost = Some(self.usual_cost.map_or(cost, |usual| usual + (cost - usual) / 32.0));
-        self.known(arrival).into_iter().for_each(|seen| seen.cost = Some(cost));
-    }
 }
 
 // ---- One cache server, parent or origin ----
@@ -226,7 +215,7 @@
 
 struct Execution {
     next: Option<Next>,
-    called_off: bool,
+
     /// It counts among the fills under way.
     filling: bool,
 }
@@ -249,9 +238,7 @@
     due: Duration,
     executions: Vec<Execution>,
     open: usize,
-    /// It waits for its turn to be filled.
-    waits: bool,
-    begun: bool,
+
     ended: bool,
     /// The first execution that may have run: when it was sent, and where.
     ran: Option<(Duration, Id)>,
@@ -273,6 +260,7 @@
     origin_model: Option<usize>,
     /// Of caches and of parents: the bounds of a cold start, and this router's share of what one bears.
     cold: [(ColdStart, f64); 2],
+
     routers_here: f64,
     most_executions: usize,
     second_copies: bool,
@@ -319,6 +307,7 @@
                 (told.cold_cache, margin / routers_here),
                 (told.cold_parent, margin / told.routers.max(1) as f64),
             ],
+
             routers_here,
             most_executions: told.max_executions.max(1),
             second_copies: told.second_copies,
@@ -330,15 +319,13 @@
             pass_through: told.pass_through,
             joins: told.joins,
             started: now,
+            fills_cut: now,
+
             mean_work: vec![(0.0, 0.0); told.categories.len()],
             ..Router::default()
         }
     }
 
-    pub fn knows_category(&self, category: usize) -> bool {
-        category < self.categories.len()
-    }
-
     /// The list, or changes to it. A server that started anew begins with a clean record.
     pub fn list(&mut self, now: Duration, kind: ListKind, members: &[Member], out: &mut dyn Outlet) {
         if kind == ListKind::Failed {
@@ -365,8 +352,8 @@
         if self.fills_most == 0.0 {
             let here =
                 self.servers.values().filter(|s| s.tier == Tier::Cache && s.member.location == self.location);
-            let capacity: f64 = here.map(|s| s.member.capacity).sum();
-            self.fills_most = (capacity / self.routers_here).max(FILLS_LEAST);
+            self.fills_most =
+                (here.map(|s| s.member.capacity).sum::<f64>() / self.routers_here).max(FILLS_LEAST);
         }
         self.servers.retain(|_, s| s.member.standing != Standing::Gone || s.under_way > 0);
     }
@@ -387,12 +374,7 @@
         self.accesses.insert(id.clone(), access);
 
         let late = id.clone();
-        let at_due = move |router: &mut Router, turn: &mut Turn| {
-            if router.accesses.get(&late).is_some_and(|a| !a.begun) {
-                router.end(turn, &late);
-            }
-        };
-        self.after(turn, due.saturating_sub(now), Box::new(at_due));
+        self.after(turn, due.saturating_sub(now), Box::new(move |router, turn| router.end(turn, &late)));
         self.advance(turn, &id);
     }
 
@@ -402,9 +384,9 @@
         self.close(&mut Turn { now, out }, id);
     }
 
-    /// A streamed answer has begun: it belongs to the client, and no limit runs any more.
+    /// A streamed answer has begun: it belongs to the client, and nothing more is owed.
     pub fn begun(&mut self, id: &Id) {
-        self.accesses.get_mut(id).into_iter().for_each(|access| access.begun = true);
+        self.accesses.get_mut(id).into_iter().for_each(|access| access.ended = true);
     }
 
     /// An execution ended: what it left behind is handed the result.
@@ -474,12 +456,11 @@
         if turn.now >= latest {
             return self.end(turn, id);
         }
-        access.waits = true;
         self.waiting.push(id.clone());
         let id = id.clone();
         let too_late = move |router: &mut Router, turn: &mut Turn| {
-            router.waiting.retain(|waits| *waits != id);
-            if router.accesses.get(&id).is_some_and(|a| a.waits) {
+            if let Some(place) = router.waiting.iter().position(|waits| *waits == id) {
+                router.waiting.remove(place);
                 router.end(turn, &id);
             }
         };
@@ -497,7 +478,7 @@
         }
         while self.fills_out < self.fills_most {
             let (accesses, categories) = (&self.accesses, &self.categories);
-            self.waiting.retain(|id| accesses.get(id).is_some_and(|a| a.waits && !a.ended));
+            self.waiting.retain(|id| accesses.get(id).is_some_and(|a| !a.ended));
             let gain = |place: &usize| {
                 let access = &accesses[&self.waiting[*place]];
                 categories[access.arrival.category].benefit / (OVERHEAD + access.work).as_secs_f64()
@@ -505,7 +486,6 @@
             let best = (0..self.waiting.len()).max_by(|a, b| gain(a).total_cmp(&gain(b)));
             let Some(best) = best else { return };
             let id = self.waiting.remove(best);
-            self.accesses.get_mut(&id).into_iter().for_each(|a| a.waits = false);
             self.advance(turn, &id);
         }
     }
@@ -553,7 +533,6 @@
                 let source = parent().or_else(origin).unwrap_or(cache);
                 Some(Route { server: name(cache), source: name(source) })
             }
-
             None if passes => parent().or_else(origin).map(straight),
             None => None,
         }
@@ -586,26 +565,22 @@
 
     /// What an execution weighs there: at a cache the mean of its category, at a parent its own sending time.
     fn weight(&self, server: &Server, access: &Access) -> f64 {
-        match server.tier {
-            Tier::Cache => self.mean_work[access.arrival.category].0,
-            _ => access.work.as_secs_f64(),
-        }
+        let mean = self.mean_work[access.arrival.category].0;
+        if server.tier == Tier::Cache { mean } else { access.work.as_secs_f64() }
     }
 
     /// Rule 2: may this access run again, there, or (nowhere named) be declined as safe to repeat?
     fn may_repeat(&self, now: Duration, access: &Access, at: Option<&Server>) -> bool {
         let Some((sent, first)) = &access.ran else { return true };
         let category = &self.categories[access.arrival.category];
+        let remembered = now + self.margin < *sent + category.window;
         let same = |of: fn(&Member) -> u64| {
-            let first = self.servers.get(first).map(|s| of(&s.member));
-            at.is_some_and(|s| Some(of(&s.member)) == first)
+            remembered && at.zip(self.servers.get(first)).is_some_and(|(a, b)| of(&a.member) == of(&b.member))
         };
         match (category.effect, category.group) {
             (Effect::Idempotent, _) => true,
             (Effect::Unrepeatable, _) => false,
-            (Effect::Deduplicated, Group::All) if at.is_none() => true,
-            (Effect::Deduplicated, _) if now + self.margin >= *sent + category.window => false,
-            (Effect::Deduplicated, Group::All) => true,
+            (Effect::Deduplicated, Group::All) => at.is_none() || remembered,
             (Effect::Deduplicated, Group::Location) => same(|m| m.location as u64),
             (Effect::Deduplicated, Group::Cohort) => same(|m| m.cohort),
         }
@@ -676,7 +651,7 @@
         let (looked_id, looked_route) = (id.clone(), route.clone());
         let id = id.clone();
         let next: Next = Box::new(move |router, turn, ended| router.follow(turn, &id, n, &route, now, ended));
-        access.executions.push(Execution { next: Some(next), called_off: false, filling });
+        access.executions.push(Execution { next: Some(next), filling });
         if watched {
             let look = move |router: &mut Router, turn: &mut Turn| {
                 router.look_into(turn, &looked_id, n, &looked_route, now)
@@ -692,7 +667,7 @@
     /// is slow and is waited for: to start it again would double the load. A server, or a source, of which
     /// nothing was heard since is silent: it is judged, and the access moves on.
     fn look_into(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
-        let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended && !a.begun) else { return };
+        let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
         // A copy would have been sent by now: it is being filled after all.
         if !std::mem::replace(&mut execution.filling, true) {
@@ -704,7 +679,6 @@
                 server.missing |= *name == route.server;
                 server.judge(turn.now, true, 1.0);
                 access.failed.push(name.clone());
-                execution.called_off = true;
                 return turn.out.cancel(id, n);
             }
         }
@@ -752,16 +726,9 @@
                 server.judge(now, failed, weight);
             }
         }
-        // Behind a parent the origin is judged, where that is told.
-        if matches!(ended.remark, Remark::OriginFailed | Remark::FilledByOrigin) {
-            let origins = self.servers.values_mut().filter(|s| s.tier == Tier::Origin);
-            origins.for_each(|origin| origin.judge(now, failed, 1.0));
-        }
         if !failed && let Some(seen) = self.ids.known(&access.arrival) {
             seen.held = (hit || rank > 0).then(|| route.server.clone());
-        }
-        if let Some(first_byte) = ended.first_byte.filter(|_| !failed) {
-            self.ids.told_cost(&access.arrival, first_byte);
+            seen.cost = ended.first_byte.map(|wait| (wait.as_secs_f64() * 1e3).max(1.0)).or(seen.cost);
         }
     }
 
@@ -782,7 +749,7 @@
         if matches!(ended.outcome, Error | TimedOut | Broken | Cancelled) && access.ran.is_none() {
             access.ran = Some((sent, route.server.clone()));
         }
-        if access.ended || access.begun {
+        if access.ended {
             return;
         }
         if ended.outcome == Missing {
@@ -797,7 +764,6 @@
         if ended.outcome != Cancelled {
             access.failed.extend(blamed.cloned());
         }
-
         self.advance(turn, id);
     }
 
@@ -818,13 +784,9 @@
 
     /// An access is over: what is still out for it is called off, and it is forgotten once all has come back.
     fn close(&mut self, turn: &mut Turn, id: &Id) {
-        let Some(access) = self.accesses.get_mut(id) else { return };
-        for (n, execution) in access.executions.iter_mut().enumerate() {
-            if self.may_cancel && execution.next.is_some() && !execution.called_off {
-                execution.called_off = true;
-                turn.out.cancel(id, n);
-            }
-        }
+        let Some(access) = self.accesses.get(id) else { return };
+        let out = access.executions.iter().enumerate().filter(|(_, e)| e.next.is_some() && self.may_cancel);
+        out.for_each(|(n, _)| turn.out.cancel(id, n));
         if access.open == 0 {
             self.accesses.remove(id);
         }
