--- a/src/control.rs
+++ b/src/control.rs
@@ -512,7 +512,8 @@
         let most = open.iter().filter(|(_, s)| s.sound(now)).count() * 2 < open.len();
         let sound = |s: &Server| s.sound(now) || most && !s.missing;
         let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
-        left().find(|s| sound(s) && !crowded(s)).or(left().find(|s| sound(s))).or(left().next())
+        let last = left().next().filter(|_| tier != Tier::Parent);
+        left().find(|s| sound(s) && !crowded(s)).or(left().find(|s| sound(s))).or(last)
     }
 
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
@@ -520,7 +521,7 @@
         let name = |s: &Server| s.member.server.clone();
         let straight = |s: &Server| Route { server: name(s), source: name(s) };
         let origin = || self.pick(now, Tier::Origin, access);
-        let parent = || self.pick(now, Tier::Parent, access).filter(|s| s.sound(now) || !s.missing);
+        let parent = || self.pick(now, Tier::Parent, access);
         let passes = self.pass_through;
         // What no cache may keep runs at the origin: the caches on the way could only fail it.
         if passes && !self.categories[access.arrival.category].cacheable && origin().is_some() {
