--- a/src/control.rs
+++ b/src/control.rs
@@ -183,9 +183,8 @@
     /// Log odds that it is broken.
     doubt: f64,
     aside: Option<Trickle>,
-    /// When it last showed that it is there, and whether it has been found missing since.
+    /// When it last showed that it is there.
     heard: Duration,
-    missing: bool,
 }
 
 impl Server {
@@ -345,7 +344,7 @@
             };
             let server = self.servers.entry(member.server.clone()).or_default();
             if server.member.started != member.started {
-                (server.doubt, server.aside, server.missing) = (0.0, None, false);
+                (server.doubt, server.aside) = (0.0, None);
             }
             (server.member, server.tier) = (member.clone(), tier);
         }
@@ -494,8 +493,8 @@
 
     /// The first that the hash prefers, moving on when one fails, is full or holds over twice the average.
     /// Each member draws its own number for an object, so that one that fails moves only its own objects, and
-    /// all routers agree on the order.
-    fn pick(&self, now: Duration, tier: Tier, access: &Access) -> Option<&Server> {
+    /// all routers agree on the order. `any`: also one that is set aside.
+    fn pick(&self, now: Duration, tier: Tier, any: bool, access: &Access) -> Option<&Server> {
         let draw = |s: &Server| {
             let seed = xxh3_64_with_seed(s.member.server.as_bytes(), 0);
             let hash = xxh3_64_with_seed(access.arrival.object.as_bytes(), seed);
@@ -507,34 +506,38 @@
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
         let crowded = |s: &Server| s.kb_under_way > CROWDED * average;
-        // What strikes most of a tier lies behind it: only who is missing is then passed over, since to crowd
-        // the few that seem sound, or the origin, would lose the copies that the others still hold.
-        let most = open.iter().filter(|(_, s)| s.sound(now)).count() * 2 < open.len();
-        let sound = |s: &Server| s.sound(now) || most && !s.missing;
         let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
-        let last = left().next().filter(|_| tier != Tier::Parent);
-        left().find(|s| sound(s) && !crowded(s)).or(left().find(|s| sound(s))).or(last)
+        let sound = || left().filter(|s| any || s.sound(now));
+        sound().find(|s| !crowded(s)).or(sound().next())
     }
 
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
         let access = self.accesses.get(id)?;
         let name = |s: &Server| s.member.server.clone();
         let straight = |s: &Server| Route { server: name(s), source: name(s) };
-        let origin = || self.pick(now, Tier::Origin, access);
-        let parent = || self.pick(now, Tier::Parent, access);
+        let pick = |tier, any| self.pick(now, tier, any, access);
+        // The origin is for when no parent is sound; where it is not either, the trouble lies there, and
+        // the parents still have what they hold.
+        let source = || {
+            let sound = pick(Tier::Parent, false).or_else(|| pick(Tier::Origin, false));
+            sound.or_else(|| pick(Tier::Parent, true)).or_else(|| pick(Tier::Origin, true))
+        };
         let passes = self.pass_through;
         // What no cache may keep runs at the origin: the caches on the way could only fail it.
-        if passes && !self.categories[access.arrival.category].cacheable && origin().is_some() {
-            return origin().map(straight);
+        if passes
+            && !self.categories[access.arrival.category].cacheable
+            && let Some(origin) = pick(Tier::Origin, true)
+        {
+            return Some(straight(origin));
         }
-        match self.pick(now, Tier::Cache, access) {
+        match pick(Tier::Cache, false).or_else(|| pick(Tier::Cache, true)) {
             // With no source left the cache itself is named: a plain send would bear no age, and could be
             // answered from a copy older than a purge.
             Some(cache) => {
-                let source = parent().or_else(origin).unwrap_or(cache);
+                let source = source().unwrap_or(cache);
                 Some(Route { server: name(cache), source: name(source) })
             }
-            None if passes => parent().or_else(origin).map(straight),
+            None if passes => source().map(straight),
             None => None,
         }
     }
@@ -676,8 +679,6 @@
         }
         for name in route.ends() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
-                // Behind a source there may be another that is slow: only a cache is taken for missing.
-                server.missing |= *name == route.server;
                 server.judge(turn.now, true, 1.0);
                 access.failed.push(name.clone());
                 return turn.out.cancel(id, n);
@@ -704,15 +705,14 @@
             (Full | Cancelled | NeverSent | Missing, _) => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
-        let direct = matches!(ended.outcome, Unreachable | Broken);
-        let silent = direct || matches!(ended.outcome, TimedOut | Cancelled | NeverSent);
+        let silent = matches!(ended.outcome, Unreachable | Broken | TimedOut | Cancelled | NeverSent);
         for (name, weight) in route.ends().zip([at_server, at_source]) {
             let Some(server) = self.servers.get_mut(name) else { continue };
             server.kb_under_way = (server.kb_under_way - kb).max(0.0);
             server.under_way -= 1;
             let first = *name == route.server;
             if !silent && (first || !failed && !hit) {
-                (server.heard, server.missing) = (now, false);
+                server.heard = now;
             }
             // A fill that was not needed never reached its source.
             if hit
@@ -722,8 +722,6 @@
                 server.sent.remove(at);
             }
             if weight > 0.0 {
-                // Who cannot be reached is missing whatever the others do.
-                server.missing |= direct;
                 server.judge(now, failed, weight);
             }
         }
