--- a/crates/wirehost/src/start.rs
+++ b/crates/wirehost/src/start.rs
@@ -32,6 +32,12 @@
     list(options, name)?.iter().map(|v| v.as_object().cloned().ok_or_else(wrong)).collect()
 }
 
+/// The kinds that are parents and origin, where there are such.
+pub fn parent_and_origin(options: &Fields) -> [Option<u64>; 2] {
+    let family = options.get("FamilyInfo");
+    ["ShieldKind", "SourceKind"].map(|name| family.and_then(|f| f.get(name)).and_then(Value::as_u64))
+}
+
 pub fn report_fields(options: &Fields) -> Vec<String> {
     let names = options.get("Feedback").and_then(|f| f.get("Fields")).and_then(Value::as_array);
     names.into_iter().flatten().map(|v| v.as_str().unwrap_or("").to_owned()).collect()
@@ -74,7 +80,6 @@
     let limits = part(options, "Limits")?;
     let rules = part(options, "Obligations")?;
     let classes = objects(options, "Classes")?;
-    let model = |name: &str| family.get(name).and_then(Value::as_i64).and_then(|k| usize::try_from(k).ok());
     let span_of = |from: &Fields, name: &str| number(from, name).map(span);
     let count_all = |name| Ok::<_, String>(numbers(&family, name)?.iter().map(|n| *n as usize).collect());
     let fall = span_of(&rules, "Fall")?;
@@ -95,8 +100,7 @@
             .map(|t| Ok(Customer { per_second: number(t, "QuotaPerS")?, share: number(t, "Share")? }))
             .collect::<Result<_, String>>()?,
         tick: span_of(options, "Granularity")?,
-        parent_model: model("ShieldKind"),
-        origin_model: model("SourceKind"),
+
         client_kb_per_s: number(&family, "ClientKbPerS")?,
         max_executions: whole(&limits, "MaxAttempts")? as usize,
         second_copies: flag(&limits, "SecondCopies")?,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -3,7 +3,7 @@
 use crate::start;
 use chalkhall::control::Router;
 use chalkhall::interface::{
-    Arrival, Ended, Fill, Id, ListKind, Load, Member, Outcome, Outlet, Remark, Standing,
+    Arrival, Ended, Fill, Id, ListKind, Load, Member, Outcome, Outlet, Remark, Standing, Tier,
 };
 use serde_json::{Map, Value, json};
 use std::collections::HashMap;
@@ -112,13 +112,14 @@
     }
 }
 
-fn member(entry: &Value) -> Result<Member, String> {
+/// An entry of a list with its kind: which of them are parents or the origin each router is told.
+fn member(entry: &Value) -> Result<(Member, u64), String> {
     let f = entry.as_object().ok_or("an entry of Members is not an object")?;
     let started = number(f, "LastStart")?;
-    Ok(Member {
+    let member = Member {
         server: id(f, "Server")?,
         location: whole(f, "Area")? as usize,
-        model: whole(f, "Sku")? as usize,
+        tier: Tier::Cache,
         cohort: whole(f, "Cohort")?,
         standing: match text(f, "Mode")? {
             "active" => Standing::Active,
@@ -128,7 +129,8 @@
         },
         capacity: number(f, "CapacityHint")?,
         started: (started > 0.0).then(|| span(started)),
-    })
+    };
+    Ok((member, whole(f, "Sku")?))
 }
 
 fn outcome(code: &str) -> Result<Outcome, String> {
@@ -167,6 +169,7 @@
     router: Router,
     report: Vec<String>,
     classes: usize,
+    parent_and_origin: [Option<u64>; 2],
 }
 
 impl Hosted {
@@ -205,7 +208,7 @@
 struct Host {
     now: Duration,
     routers: HashMap<u64, Hosted>,
-    sheets: HashMap<u64, Vec<Member>>,
+    sheets: HashMap<u64, Vec<(Member, u64)>>,
 }
 
 impl Host {
@@ -225,9 +228,10 @@
         if name == "Boot" {
             let options = f.get("Options").and_then(Value::as_object).ok_or("Options is not an object")?;
             let told = start::deployment(options)?;
-            let router = Router::start(now, whole(f, "Salt")?, &told, out);
+            let router = Router::start(now, &told, out);
             let (report, classes) = (start::report_fields(options), told.categories.len());
-            self.routers.insert(number_of, Hosted { router, report, classes });
+            let parent_and_origin = start::parent_and_origin(options);
+            self.routers.insert(number_of, Hosted { router, report, classes, parent_and_origin });
             return out.failed.take().map_or(Ok(()), Err);
         }
         let hosted =
@@ -248,7 +252,17 @@
                     Some(entries) => entries.as_slice(),
                     None => return Err(format!("Sheet {sheet} was never given")),
                 };
-                hosted.router.list(now, kind, entries, out);
+                let [parent, origin] = hosted.parent_and_origin;
+                let placed = |(member, kind): &(Member, u64)| Member {
+                    tier: match Some(*kind) {
+                        kind if kind == parent => Tier::Parent,
+                        kind if kind == origin => Tier::Origin,
+                        _ => Tier::Cache,
+                    },
+                    ..member.clone()
+                };
+                let entries: Vec<Member> = entries.iter().map(placed).collect();
+                hosted.router.list(now, kind, &entries, out);
             }
             "Accept" => {
                 let arrival = Arrival {
--- a/src/control.rs
+++ b/src/control.rs
@@ -4,10 +4,9 @@
 //! `result`, `begun`, `left`, `purged`, `wake`), each with the time since the start and the outlet through
 //! which the router acts. The types of these calls and the outlet are in `interface.rs`.
 //!
-//! In this order: constants; the id list (the design's mechanism); one server; one execution and one access;
-//! the router, with its calls, waiting, where to, the gate, what follows. `Router::send` is the gate that
-//! every execution passes: the five rules are enforced there. Each execution leaves a closure that is
-//! handed its result.
+//! In this order: constants; the id list (the design's mechanism); one server; one access; the router, with
+//! its calls, waiting, where to, the gate, what follows. Every execution passes `Router::send`, where the
+//! rules are enforced, and leaves a closure that is handed its result.
 
 use crate::interface::*;
 use lru::LruCache;
@@ -44,8 +43,9 @@
 const FILL_CUT: f64 = 0.9;
 const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
 const FILLS_LEAST: f64 = 2.0;
-/// The wait that a declined client is advised.
+/// The wait that a declined client is advised; that before the list is asked for again.
 const ADVICE: Duration = Duration::from_millis(200);
+const LIST_AGAIN: Duration = Duration::from_millis(1000);
 
 /// What a router still does when a time comes, and what it makes of an execution's end.
 type Then = Box<dyn FnOnce(&mut Router, &mut Turn)>;
@@ -59,7 +59,7 @@
 
 // ---- The id list: sightings, admission and ranks ----
 
-/// The last values of something, in order of arrival and of size.
+/// Recent values, in order of arrival and of size.
 #[derive(Default)]
 struct Recent {
     arrived: VecDeque<f64>,
@@ -76,7 +76,7 @@
         self.sorted.insert(self.sorted.partition_point(|v| *v < value), value);
     }
 
-    /// The value that this share of the recent ones lies below.
+    /// The value that this share of them lies below.
     fn quantile(&self, share: f64) -> f64 {
         let place = (self.sorted.len() as f64 * share) as usize;
         self.sorted.get(place).copied().unwrap_or(0.0)
@@ -97,7 +97,7 @@
     held: Option<Id>,
 }
 
-/// The recency-ordered list of ids, and the recent values that a sighting is judged against.
+/// The recency-ordered list of ids, and what a sighting is judged against.
 struct IdList {
     seen: LruCache<(Id, u64), Seen>,
     accesses: u64,
@@ -128,11 +128,10 @@
         }
         let since = now.saturating_sub(seen.at).as_secs_f64();
         let refresh = fresh.map_or(0.0, |fresh| (since / fresh.as_secs_f64()).min(1.0));
-        let cost = seen.cost.unwrap_or(1.0);
-        let value = cost * (1.0 - refresh) / (count - seen.count) as f64;
+        let value = seen.cost.unwrap_or(1.0) * (1.0 - refresh) / (count - seen.count) as f64;
         let score = if value > 0.0 { arrival.kb / value } else { f64::INFINITY };
-        let admitted =
-            self.values.sorted.len() < SIGHTINGS_BEFORE_GATE || value >= self.values.quantile(0.25);
+        let few = self.values.sorted.len() < SIGHTINGS_BEFORE_GATE;
+        let admitted = few || value >= self.values.quantile(0.25);
         let rank = match self.scores.sorted.len() {
             n if n < SCORES_BEFORE_RANKS => 2,
             _ if score < self.scores.quantile(1.0 / 3.0) => 3,
@@ -142,11 +141,7 @@
         self.values.note(value);
         self.scores.note(score);
         // What expires before it is asked for again is not admitted; a kept copy of it drops to the bottom.
-        let rank = match admitted {
-            _ if refresh >= 1.0 => u8::from(seen.rank > 0),
-            true => rank,
-            false => 0,
-        };
+        let rank = if refresh >= 1.0 { u8::from(seen.rank > 0) } else { rank * u8::from(admitted) };
         (seen.rank, seen.count, seen.at) = (rank, count, now);
         rank
     }
@@ -158,55 +153,38 @@
 
 // ---- One cache server, parent or origin ----
 
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
-enum Tier {
-    #[default]
-    Cache,
-    Parent,
-    Origin,
-}
-
-/// A server set aside: when its next execution is due, and how far apart they are.
-struct Trickle {
-    due: Duration,
-    spacing: Duration,
-}
-
 #[derive(Default)]
 struct Server {
     member: Member,
-    tier: Tier,
-    /// Work sent to it within the span in which a cold server falls over.
+    /// Work sent to it within the span of a fall.
     sent: VecDeque<(Duration, f64)>,
     kb_under_way: f64,
     under_way: usize,
-    /// Log odds that it is broken.
+    /// Log odds that it is broken; set aside: when its next execution is due, and how far apart they are.
     doubt: f64,
-    aside: Option<Trickle>,
+    aside: Option<(Duration, Duration)>,
     /// When it last showed that it is there.
     heard: Duration,
 }
 
 impl Server {
     fn sound(&self, now: Duration) -> bool {
-        self.aside.as_ref().is_none_or(|trickle| now >= trickle.due)
+        self.aside.is_none_or(|(due, _)| now >= due)
     }
 
     /// One step of the sequential test; `weight` is how much of the outcome is laid to this server.
     fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
-        let step =
-            if failed { BROKEN_FAILS / SOUND_FAILS } else { (1.0 - BROKEN_FAILS) / (1.0 - SOUND_FAILS) };
-        self.doubt = (self.doubt + weight * step.ln()).clamp(0.0, DECIDING_ODDS.ln());
-        let spacing = match &self.aside {
+        let odds = |broken: f64, sound: f64| (broken / sound).ln();
+        let (fail, pass) = (odds(BROKEN_FAILS, SOUND_FAILS), odds(1.0 - BROKEN_FAILS, 1.0 - SOUND_FAILS));
+        self.doubt = (self.doubt + weight * if failed { fail } else { pass }).clamp(0.0, DECIDING_ODDS.ln());
+        let spacing = match self.aside {
             None if self.doubt < DECIDING_ODDS.ln() => return,
             None => TRICKLE_FIRST,
-            Some(trickle) if failed => (trickle.spacing * 2).min(TRICKLE_SLOWEST),
-            Some(trickle) => trickle.spacing / 2,
+            Some((_, spacing)) if failed => (spacing * 2).min(TRICKLE_SLOWEST),
+            Some((_, spacing)) => spacing / 2,
         };
-        self.aside = (spacing >= TRICKLE_FULL).then(|| Trickle { due: now + spacing, spacing });
-        if self.aside.is_none() {
-            self.doubt = 0.0;
-        }
+        self.aside = (spacing >= TRICKLE_FULL).then_some((now + spacing, spacing));
+        self.doubt *= f64::from(u8::from(self.aside.is_some()));
     }
 }
 
@@ -214,7 +192,6 @@
 
 struct Execution {
     next: Option<Next>,
-
     /// It counts among the fills under way.
     filling: bool,
 }
@@ -230,16 +207,14 @@
 struct Access {
     arrival: Arrival,
     rank: u8,
-    /// Its sending time at the client's pace.
+    /// Its sending time at the client's pace, its soft limit, and when its final answer is out at the latest.
     work: Duration,
     soft: Duration,
-    /// The final answer goes out by then.
     due: Duration,
     executions: Vec<Execution>,
     open: usize,
-
     ended: bool,
-    /// The first execution that may have run: when it was sent, and where.
+    /// The first execution that may have run: when, and where.
     ran: Option<(Duration, Id)>,
     /// Servers and sources that failed this access.
     failed: Vec<Id>,
@@ -255,17 +230,14 @@
     categories: Vec<Category>,
     margin: Duration,
     kb_per_s: f64,
-    parent_model: Option<usize>,
-    origin_model: Option<usize>,
+
     /// Of caches and of parents: the bounds of a cold start, and this router's share of what one bears.
     cold: [(ColdStart, f64); 2],
-
     routers_here: f64,
     most_executions: usize,
     second_copies: bool,
     may_cancel: bool,
     advice: Option<Duration>,
-    list_wait: Duration,
     purge_done: Duration,
     pass_through: bool,
     joins: bool,
@@ -289,9 +261,10 @@
 }
 
 impl Router {
-    pub fn start(now: Duration, seed: u64, told: &Deployment, out: &mut dyn Outlet) -> Router {
+    pub fn start(now: Duration, told: &Deployment, out: &mut dyn Outlet) -> Router {
         let routers_here = told.routers_at.get(told.location).copied().unwrap_or(told.routers).max(1) as f64;
         let margin = if told.hints == Hints::Nominal { COLD_MARGIN } else { COLD_MARGIN_ROUGH };
+        let routers = told.routers.max(1) as f64;
         if told.list_on_request {
             out.watch_list();
         }
@@ -300,26 +273,18 @@
             categories: told.categories.clone(),
             margin: told.tick * 2,
             kb_per_s: if told.client_kb_per_s > 0.0 { told.client_kb_per_s } else { f64::INFINITY },
-            parent_model: told.parent_model,
-            origin_model: told.origin_model,
-            cold: [
-                (told.cold_cache, margin / routers_here),
-                (told.cold_parent, margin / told.routers.max(1) as f64),
-            ],
 
+            cold: [(told.cold_cache, margin / routers_here), (told.cold_parent, margin / routers)],
             routers_here,
             most_executions: told.max_executions.max(1),
             second_copies: told.second_copies,
             may_cancel: told.may_cancel,
             advice: told.longest_advice.map(|longest| longest.min(ADVICE)),
-            // Routers that lost the list together should not all ask for it at once.
-            list_wait: Duration::from_millis(fastrand::Rng::with_seed(seed).u64(1000..1500)),
             purge_done: told.purge_done,
             pass_through: told.pass_through,
             joins: told.joins,
             started: now,
             fills_cut: now,
-
             mean_work: vec![(0.0, 0.0); told.categories.len()],
             ..Router::default()
         }
@@ -329,30 +294,24 @@
     pub fn list(&mut self, now: Duration, kind: ListKind, members: &[Member], out: &mut dyn Outlet) {
         if kind == ListKind::Failed {
             // Without a subscription a drain would never be heard of.
-            let wait = self.list_wait;
-            return self.after(&mut Turn { now, out }, wait, Box::new(|_, turn| turn.out.watch_list()));
+            let turn = &mut Turn { now, out };
+            return self.after(turn, LIST_AGAIN, Box::new(|_, turn| turn.out.watch_list()));
         }
         if kind != ListKind::Changes {
             // What a whole list leaves out is gone.
             self.servers.values_mut().for_each(|s| s.member.standing = Standing::Gone);
         }
         for member in members {
-            let tier = match Some(member.model) {
-                model if model == self.parent_model => Tier::Parent,
-                model if model == self.origin_model => Tier::Origin,
-                _ => Tier::Cache,
-            };
             let server = self.servers.entry(member.server.clone()).or_default();
             if server.member.started != member.started {
                 (server.doubt, server.aside) = (0.0, None);
             }
-            (server.member, server.tier) = (member.clone(), tier);
+            server.member = member.clone();
         }
         if self.fills_most == 0.0 {
-            let here =
-                self.servers.values().filter(|s| s.tier == Tier::Cache && s.member.location == self.location);
-            self.fills_most =
-                (here.map(|s| s.member.capacity).sum::<f64>() / self.routers_here).max(FILLS_LEAST);
+            let here = |s: &&Server| s.member.tier == Tier::Cache && s.member.location == self.location;
+            let capacity: f64 = self.servers.values().filter(here).map(|s| s.member.capacity).sum();
+            self.fills_most = (capacity / self.routers_here).max(FILLS_LEAST);
         }
         self.servers.retain(|_, s| s.member.standing != Standing::Gone || s.under_way > 0);
     }
@@ -371,7 +330,6 @@
         let id = arrival.id.clone();
         let access = Access { arrival, rank, work, soft, due, ..Access::default() };
         self.accesses.insert(id.clone(), access);
-
         let late = id.clone();
         self.after(turn, due.saturating_sub(now), Box::new(move |router, turn| router.end(turn, &late)));
         self.advance(turn, &id);
@@ -401,7 +359,7 @@
         }
     }
 
-    /// Remembered until no older copy can be left anywhere.
+    /// A purge is remembered until no older copy can be left anywhere.
     pub fn purged(&mut self, now: Duration, object: Option<Id>, group: u64, ago: Duration) {
         let (at, left) = (now.saturating_sub(ago), self.purge_done + self.margin);
         self.purged_objects.retain(|_, purge| now < *purge + left);
@@ -457,13 +415,13 @@
         }
         self.waiting.push(id.clone());
         let id = id.clone();
-        let too_late = move |router: &mut Router, turn: &mut Turn| {
+        let too_late: Then = Box::new(move |router, turn| {
             if let Some(place) = router.waiting.iter().position(|waits| *waits == id) {
                 router.waiting.remove(place);
                 router.end(turn, &id);
             }
-        };
-        self.after(turn, latest - turn.now, Box::new(too_late));
+        });
+        self.after(turn, latest - turn.now, too_late);
     }
 
     /// A fill ended: how many may be under way follows, and those that wait go, most benefit for the work first.
@@ -482,8 +440,8 @@
                 let access = &accesses[&self.waiting[*place]];
                 categories[access.arrival.category].benefit / (OVERHEAD + access.work).as_secs_f64()
             };
-            let best = (0..self.waiting.len()).max_by(|a, b| gain(a).total_cmp(&gain(b)));
-            let Some(best) = best else { return };
+            let places = 0..self.waiting.len();
+            let Some(best) = places.max_by(|a, b| gain(a).total_cmp(&gain(b))) else { return };
             let id = self.waiting.remove(best);
             self.advance(turn, &id);
         }
@@ -500,7 +458,8 @@
             let hash = xxh3_64_with_seed(access.arrival.object.as_bytes(), seed);
             -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
         };
-        let near = |s: &Server| s.tier == tier && (tier != Tier::Cache || s.member.location == self.location);
+        let near =
+            |s: &Server| s.member.tier == tier && (tier != Tier::Cache || s.member.location == self.location);
         let members = self.servers.values().filter(|s| near(s) && self.may_take(now, s, access));
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
@@ -551,7 +510,7 @@
         if server.member.standing != Standing::Active {
             return false;
         }
-        let Some((cold, share)) = self.cold.get(server.tier as usize) else { return true };
+        let Some((cold, share)) = self.cold.get(server.member.tier as usize) else { return true };
         let Some(age) = server.member.started.map(|at| now.saturating_sub(at)) else { return true };
         if age >= cold.warm_within + cold.span {
             return true;
@@ -570,7 +529,7 @@
     /// What an execution weighs there: at a cache the mean of its category, at a parent its own sending time.
     fn weight(&self, server: &Server, access: &Access) -> f64 {
         let mean = self.mean_work[access.arrival.category].0;
-        if server.tier == Tier::Cache { mean } else { access.work.as_secs_f64() }
+        if server.member.tier == Tier::Cache { mean } else { access.work.as_secs_f64() }
     }
 
     /// Rule 2: may this access run again, there, or (nowhere named) be declined as safe to repeat?
@@ -601,11 +560,6 @@
         since.into_iter().chain(fresh).min()
     }
 
-    /// While the origin fails, what parents fetch from it only holds up what they have.
-    fn origin_aside(&self, now: Duration) -> bool {
-        self.servers.values().any(|s| s.tier == Tier::Origin && !s.sound(now))
-    }
-
     /// The gate: every execution passes here, and each rule is enforced here. False: not sent.
     fn send(&mut self, turn: &mut Turn, id: &Id, route: Route) -> bool {
         let now = turn.now;
@@ -625,12 +579,14 @@
         if !lawful {
             return false;
         }
+        let mut origins = self.servers.values().filter(|s| s.member.tier == Tier::Origin);
         let fill = Fill {
             source: route.source.clone(),
-            rank: if server.tier == Tier::Cache { access.rank } else { 0 },
+            rank: if server.member.tier == Tier::Cache { access.rank } else { 0 },
             oldest: self.oldest(now, access),
             join: self.joins,
-            only_held: source.tier == Tier::Parent && self.origin_aside(now),
+            // While the origin fails, what a parent fetches from it only holds up what it has.
+            only_held: source.member.tier == Tier::Parent && origins.all(|s| !s.sound(now)),
             parent_keeps: true,
             renew: false,
         };
@@ -645,22 +601,19 @@
             server.sent.push_back((now, weight));
             server.kb_under_way += kb;
             server.under_way += 1;
-            server.aside.iter_mut().for_each(|trickle| trickle.due = now + trickle.spacing);
+            server.aside = server.aside.map(|(_, spacing)| (now + spacing, spacing));
         }
         turn.out.execute(id, &route.server, limit, &fill);
         self.fills_out += f64::from(u8::from(filling));
         let Some(access) = self.accesses.get_mut(id) else { return false };
         access.open += 1;
         let n = access.executions.len();
-        let (looked_id, looked_route) = (id.clone(), route.clone());
-        let id = id.clone();
+        let (looked, id) = ((id.clone(), route.clone()), id.clone());
         let next: Next = Box::new(move |router, turn, ended| router.follow(turn, &id, n, &route, now, ended));
         access.executions.push(Execution { next: Some(next), filling });
         if watched {
-            let look = move |router: &mut Router, turn: &mut Turn| {
-                router.look_into(turn, &looked_id, n, &looked_route, now)
-            };
-            self.after(turn, look_at, Box::new(look));
+            let (id, route) = looked;
+            self.after(turn, look_at, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, now)));
         }
         true
     }
@@ -687,22 +640,19 @@
     }
 
     /// What the end of an execution says of its server and its source.
-    fn learn(&mut self, sent: Duration, now: Duration, id: &Id, route: &Route, filling: bool, ended: &Ended) {
+    fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
-        let (kb, work, rank) = (access.arrival.kb, access.work.as_secs_f64(), access.rank);
+        let (kb, rank) = (access.arrival.kb, access.rank);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
         // How much of it is laid to the server and to the source; a slow fill may be the fault of either.
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
             (Honoured, _) => (1.0, if hit { 0.0 } else { 1.0 }),
             (Unreachable | Broken, _) => (1.0, 0.0),
             (_, Remark::SourceUnreached) => (0.0, 1.0),
-            (_, Remark::SourceRefused | Remark::NoFillPlace | Remark::SourceLacks | Remark::OriginFailed) => {
-                (0.0, 0.0)
-            }
-            (Error | TimedOut, _) if filling => (0.5, 0.5),
-            (Error | TimedOut, _) => (1.0, 0.0),
-            (Full | Cancelled | NeverSent | Missing, _) => (0.0, 0.0),
+            (Error | TimedOut, Remark::None) if filling => (0.5, 0.5),
+            (Error | TimedOut, Remark::None) => (1.0, 0.0),
+            _ => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
         let silent = matches!(ended.outcome, Unreachable | Broken | TimedOut | Cancelled | NeverSent);
@@ -714,13 +664,6 @@
             if !silent && (first || !failed && !hit) {
                 server.heard = now;
             }
-            // A fill that was not needed never reached its source.
-            if hit
-                && !first
-                && let Some(at) = server.sent.iter().position(|s| *s == (sent, work))
-            {
-                server.sent.remove(at);
-            }
             if weight > 0.0 {
                 server.judge(now, failed, weight);
             }
@@ -737,12 +680,12 @@
         let Some(access) = self.accesses.get(id) else { return };
         let filling = access.executions[n].filling;
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
-        self.learn(sent, turn.now, id, route, filling, ended);
+        self.learn(turn.now, id, route, filling, ended);
         if filling {
             // One whose server or source is dead says nothing of how many the links bear.
-            let dead =
-                matches!(ended.outcome, Cancelled | Missing) || ended.remark == Remark::SourceUnreached;
-            self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
+            let told =
+                !matches!(ended.outcome, Cancelled | Missing) && ended.remark != Remark::SourceUnreached;
+            self.fill_ended(turn, told.then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         let Some(access) = self.accesses.get_mut(id) else { return };
         if matches!(ended.outcome, Error | TimedOut | Broken | Cancelled) && access.ran.is_none() {
@@ -755,11 +698,9 @@
             return self.end(turn, id);
         }
         // Where the source alone failed the cache is asked again, with another.
-        use Remark::{OriginFailed, SourceLacks, SourceRefused, SourceUnreached};
-        let source_failed =
-            matches!(ended.remark, SourceRefused | SourceUnreached | SourceLacks | OriginFailed);
+        let source_failed = !matches!(ended.remark, Remark::None | Remark::NoFillPlace | Remark::Joined);
         let either = ended.outcome == Full && ended.remark == Remark::None;
-        let blamed = route.ends().skip(usize::from(source_failed)).take(if either { 2 } else { 1 });
+        let blamed = route.ends().skip(usize::from(source_failed)).take(1 + usize::from(either));
         if ended.outcome != Cancelled {
             access.failed.extend(blamed.cloned());
         }
@@ -793,7 +734,7 @@
 }
 
 impl Route {
-    /// The server and, where it is another, the source.
+    /// The server, and the source where it is another.
     fn ends(&self) -> impl Iterator<Item = &Id> {
         [Some(&self.server), Some(&self.source).filter(|s| **s != self.server)].into_iter().flatten()
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -110,9 +110,7 @@
     pub customers: Vec<Customer>,
     /// Least time between two calls.
     pub tick: Duration,
-    /// The models that are parents and origin; none: there are none.
-    pub parent_model: Option<usize>,
-    pub origin_model: Option<usize>,
+
     /// Top pace of one answer: the unit of capacity.
     pub client_kb_per_s: f64,
     pub max_executions: usize,
@@ -145,12 +143,21 @@
     Gone,
 }
 
+/// What a server is: a cache of a location, a parent of all locations, or the origin.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Tier {
+    #[default]
+    Cache,
+    Parent,
+    Origin,
+}
+
 /// One entry of the list of cache servers, parents and origin.
 #[derive(Clone, Debug, Default)]
 pub struct Member {
     pub server: Id,
     pub location: usize,
-    pub model: usize,
+    pub tier: Tier,
     pub cohort: u64,
     pub standing: Standing,
     pub capacity: f64,
