--- a/src/control.rs
+++ b/src/control.rs
@@ -159,7 +159,7 @@
     /// Work sent to it within the span of a fall.
     sent: VecDeque<(Duration, f64)>,
     kb_under_way: f64,
-    under_way: usize,
+
     /// Log odds that it is broken; set aside: when its next execution is due, and how far apart they are.
     doubt: f64,
     aside: Option<(Duration, Duration)>,
@@ -313,7 +313,7 @@
             let capacity: f64 = self.servers.values().filter(here).map(|s| s.member.capacity).sum();
             self.fills_most = (capacity / self.routers_here).max(FILLS_LEAST);
         }
-        self.servers.retain(|_, s| s.member.standing != Standing::Gone || s.under_way > 0);
+        self.servers.retain(|_, s| s.member.standing != Standing::Gone);
     }
 
     /// An access comes in: it gets its one final answer by `due` whatever else happens.
@@ -397,7 +397,7 @@
         }
     }
 
-    /// The cache is not known to hold it: it would go through the location's link.
+    /// The cache is not known to hold it: it would take a fill through the location's link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
         let kept = self.categories[access.arrival.category].cacheable;
@@ -600,7 +600,7 @@
             server.sent.retain(|(at, _)| *at + span > now);
             server.sent.push_back((now, weight));
             server.kb_under_way += kb;
-            server.under_way += 1;
+
             server.aside = server.aside.map(|(_, spacing)| (now + spacing, spacing));
         }
         turn.out.execute(id, &route.server, limit, &fill);
@@ -659,7 +659,7 @@
         for (name, weight) in route.ends().zip([at_server, at_source]) {
             let Some(server) = self.servers.get_mut(name) else { continue };
             server.kb_under_way = (server.kb_under_way - kb).max(0.0);
-            server.under_way -= 1;
+
             let first = *name == route.server;
             if !silent && (first || !failed && !hit) {
                 server.heard = now;
