--- a/src/control.rs
+++ b/src/control.rs
@@ -4,9 +4,8 @@
 //! `result`, `begun`, `left`, `purged`, `wake`), each with the time since the start and the outlet through
 //! which the router acts. The types of these calls and the outlet are in `interface.rs`.
 //!
-//! In this order: constants; the id list (the design's mechanism); one server; one access; the router, with
-//! its calls, waiting, where to, the gate, what follows. Every execution passes `Router::send`, where the
-//! rules are enforced, and leaves a closure that is handed its result.
+//! Every execution passes `Router::send`, where the rules are enforced, and leaves a closure that is handed
+//! its result.
 
 use crate::interface::*;
 use lru::LruCache;
@@ -15,11 +14,11 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The id list's bound, and how many sightings are needed before the gate and the ranks act (design page).
+/// The id list's bound, and how many sightings are needed before the gate and the ranks act (design
+/// page); how many scores and sightings count as recent.
 const ID_LIST: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
 const SIGHTINGS_BEFORE_GATE: usize = 64;
 const SCORES_BEFORE_RANKS: usize = 256;
-/// How many scores and sightings count as recent.
 const RECENT: usize = 1024;
 /// A member holding over this multiple of the average bytes under way is passed over (design page).
 const CROWDED: f64 = 2.0;
@@ -424,7 +423,7 @@
         self.after(turn, latest - turn.now, too_late);
     }
 
-    /// A fill ended: how many may be under way follows, and those that wait go, most benefit for the work first.
+    /// A fill ended: how many may be out follows, and those that wait go, most benefit for the work first.
     fn fill_ended(&mut self, turn: &mut Turn, in_time: Option<bool>) {
         self.fills_out -= 1.0;
         if in_time == Some(true) {
@@ -549,7 +548,7 @@
         }
     }
 
-    /// Rule 5: the oldest copy that will do. Counted from the purge, and never zero, which would mean any age.
+    /// Rule 5: the oldest copy that will do, counted from the purge, and never zero: that would mean any age.
     fn oldest(&self, now: Duration, access: &Access) -> Option<Duration> {
         let fresh = self.categories[access.arrival.category].fresh;
         let object = self.purged_objects.get(&access.arrival.object);
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,289 @@
+//! Plays every file of `tests/scenarios` against the decisions, without any bench.
+//!
+//! A scenario is a list of lines; `#` begins a comment. What happens:
+//!   given KEY=VALUE..             changes what the router is told (first lines only)
+//!   at MS                         time passes, and what was asked to wake does
+//!   list SERVER[=STATE]..         changes; STATE: draining, gone, or the time of a start in ms
+//!   whole SERVER..                the whole list
+//!   access ID [category=0 object=ID part=0 group=0 kb=100 left=4000 repeated=0]
+//!   accesses COUNT ID [..]        many at once: ID0, ID1.., each for an object of its own unless named
+//!   result ID N OUTCOME [REMARK] [over]      left ID      begun ID      purge [object=X group=0 ago=0]
+//! What must follow, among the actions since the start or the last `clear`:
+//!   expect PATTERN                one that matches, after those expected before; `*` is any word or the
+//!                                 rest, $X binds a word at first and stands for it afterwards
+//!   never PATTERN                 none      count PATTERN MIN MAX      so many
+//! Servers are named by a letter and a number: c caches, p parents, o the origin.
+
+use chalkhall::control::Router;
+use chalkhall::interface::*;
+use std::collections::{BTreeMap, HashMap};
+use std::path::Path;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Writes down what the router does, and when it wants to be woken.
+#[derive(Default)]
+struct Record {
+    lines: Vec<String>,
+    wakes: BTreeMap<(Duration, u64), ()>,
+}
+
+impl Outlet for Record {
+    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: &Fill) {
+        let oldest = fill.oldest.map_or("-".into(), |o| o.as_micros().to_string());
+        let (source, rank, limit) = (&fill.source, fill.rank, limit.as_millis());
+        let held = if fill.only_held { "held" } else { "any" };
+        let line = format!(
+            "execute {access} {server} from {source} rank {rank} oldest {oldest} {held} limit {limit}"
+        );
+        self.lines.push(line);
+    }
+    fn decline(&mut self, access: &Id, _advice: Option<Duration>) {
+        self.lines.push(format!("decline {access}"));
+    }
+    fn give_up(&mut self, access: &Id) {
+        self.lines.push(format!("give-up {access}"));
+    }
+    fn cancel(&mut self, access: &Id, execution: usize) {
+        self.lines.push(format!("cancel {access} {execution}"));
+    }
+    fn wake_at(&mut self, at: Duration, mark: u64) {
+        self.wakes.insert((at, mark), ());
+    }
+    fn watch_list(&mut self) {
+        self.lines.push("watch".into());
+    }
+}
+
+fn category(effect: Effect, fresh: Option<Duration>, cacheable: bool) -> Category {
+    Category {
+        effect,
+        group: Group::All,
+        window: ms(2000),
+        soft_limit: ms(500),
+        soft_stretch: 2.0,
+        hard_limit: ms(4000),
+        benefit: 1.0,
+        late_benefit: 0.2,
+        fresh,
+        stale_for: ms(0),
+        stale_benefit: 0.5,
+        cacheable,
+        in_parts: false,
+        streamed: false,
+    }
+}
+
+/// Categories: 0 kept until purged, 1 fresh for 5 s, 2 unrepeatable, 3 deduplicated.
+fn deployment() -> Deployment {
+    let cold = ColdStart { from: 0.25, warm_within: ms(10_000), multiple: 2.0, span: ms(1000) };
+    Deployment {
+        number: 0,
+        routers: 2,
+        location: 1,
+        routers_at: vec![0, 1, 1],
+        hub_of: vec![0, 0, 0],
+        link_kb_per_s: vec![],
+        categories: vec![
+            category(Effect::Idempotent, None, true),
+            category(Effect::Idempotent, Some(ms(5000)), true),
+            category(Effect::Unrepeatable, None, false),
+            category(Effect::Deduplicated, None, false),
+        ],
+        customers: vec![],
+        tick: ms(2),
+        client_kb_per_s: 1000.0,
+        max_executions: 6,
+        second_copies: false,
+        may_cancel: true,
+        longest_advice: Some(ms(1000)),
+        cold_cache: cold,
+        cold_parent: ColdStart { from: 0.1, ..cold },
+        drain_grace: ms(250),
+        purge_grace: ms(500),
+        purge_done: ms(6000),
+        pass_through: true,
+        joins: false,
+        siblings: Siblings::None,
+        telling: Telling::All,
+        hints: Hints::Nominal,
+        list_on_request: false,
+        ask_within: ms(10_000),
+    }
+}
+
+fn member(word: &str) -> Member {
+    let (name, state) = word.split_once('=').unwrap_or((word, ""));
+    Member {
+        server: name.into(),
+        location: if name.starts_with('c') { 1 } else { 0 },
+        tier: match &name[..1] {
+            "c" => Tier::Cache,
+            "p" => Tier::Parent,
+            _ => Tier::Origin,
+        },
+        cohort: 0,
+        standing: match state {
+            "draining" => Standing::Draining,
+            "gone" => Standing::Gone,
+            _ => Standing::Active,
+        },
+        capacity: 6.0,
+        started: state.parse().ok().map(ms),
+    }
+}
+
+/// Does the line match, word by word? Names bound on the way are kept only if it does.
+fn matches(line: &str, pattern: &str, bound: &mut HashMap<String, String>) -> bool {
+    let (mut found, mut words) = (bound.clone(), line.split(' '));
+    for want in pattern.split_whitespace() {
+        let Some(word) = words.next() else { return false };
+        let same = match want.strip_prefix('$') {
+            Some(name) => *found.entry(name.into()).or_insert(word.into()) == word,
+            None => want == "*" || want == word,
+        };
+        if !same {
+            return false;
+        }
+    }
+    *bound = found;
+    true
+}
+
+fn outcome(word: &str) -> Outcome {
+    match word {
+        "honoured" => Outcome::Honoured,
+        "error" => Outcome::Error,
+        "full" => Outcome::Full,
+        "timed-out" => Outcome::TimedOut,
+        "unreachable" => Outcome::Unreachable,
+        "broken" => Outcome::Broken,
+        "cancelled" => Outcome::Cancelled,
+        "never-sent" => Outcome::NeverSent,
+        "missing" => Outcome::Missing,
+        other => panic!("unknown outcome {other}"),
+    }
+}
+
+fn play(name: &str, text: &str) {
+    let (mut told, mut record, mut bound) = (deployment(), Record::default(), HashMap::new());
+    let (mut now, mut expected, mut router) = (ms(1000), 0, None);
+    for (number, line) in text.lines().enumerate() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        let place = format!("{name}, line {}: {line}", number + 1);
+        // Names bound before stand in what happens, too.
+        let spoken = line.split(' ').map(|w| match w.strip_prefix('$') {
+            Some(n) if !line.starts_with("expect") => {
+                bound.get(n).cloned().unwrap_or_else(|| panic!("{place}: unbound"))
+            }
+            _ => w.to_owned(),
+        });
+        let spoken: Vec<String> = spoken.collect();
+        let words: Vec<&str> = spoken.iter().map(String::as_str).filter(|w| !w.is_empty()).collect();
+        let [verb, rest @ ..] = words.as_slice() else { continue };
+        let field = |key: &str, usual: u64| {
+            let found = rest.iter().find_map(|w| w.strip_prefix(key).and_then(|w| w.strip_prefix('=')));
+            found.map_or(usual, |v| v.parse().unwrap_or_else(|_| panic!("{place}: bad number")))
+        };
+        if *verb == "given" {
+            told.max_executions = field("executions", 6) as usize;
+            told.joins = field("joins", 0) == 1;
+            told.list_on_request = field("ask", 0) == 1;
+            continue;
+        }
+        let router = router.get_or_insert_with(|| Router::start(now, &told, &mut record));
+        let pattern = rest.join(" ");
+        match *verb {
+            "at" => {
+                let then = ms(1000 + rest[0].parse::<u64>().expect("a time"));
+                while let Some((&(at, mark), ())) =
+                    record.wakes.first_key_value().filter(|((at, _), ())| *at <= then)
+                {
+                    record.wakes.pop_first();
+                    now = now.max(at);
+                    router.wake(now, mark, &mut record);
+                }
+                now = then;
+            }
+            "list" | "whole" => {
+                let mut members: Vec<Member> = rest.iter().map(|w| member(w)).collect();
+                members.iter_mut().for_each(|m| m.started = m.started.map(|s| s + ms(1000)));
+                let kind = if *verb == "list" { ListKind::Changes } else { ListKind::Whole };
+                router.list(now, kind, &members, &mut record);
+            }
+            "list-failed" => router.list(now, ListKind::Failed, &[], &mut record),
+            "access" | "accesses" => {
+                let many = *verb == "accesses";
+                let count = if many { rest[0].parse().expect("a count") } else { 1 };
+                for n in 0..count {
+                    let id = if many { format!("{}{n}", rest[1]) } else { rest[0].to_owned() };
+                    let object = rest.iter().find_map(|w| w.strip_prefix("object=")).unwrap_or(&id);
+                    let arrival = Arrival {
+                        id: id.as_str().into(),
+                        category: field("category", 0) as usize,
+                        customer: 0,
+                        object: object.into(),
+                        part: field("part", 0),
+                        group: field("group", 0),
+                        kb: field("kb", 100) as f64,
+                        left: ms(field("left", 4000)),
+                        repeated: field("repeated", 0) == 1,
+                    };
+                    router.access(now, arrival, &mut record);
+                }
+            }
+            "result" => {
+                let remark = match *rest.get(3).unwrap_or(&"") {
+                    "hit" => Remark::Hit,
+                    "filled" => Remark::Filled,
+                    "unreached" => Remark::SourceUnreached,
+                    _ => Remark::None,
+                };
+                let over = rest[2] == "honoured" || rest.contains(&"over");
+                let (load, first_byte, took) = (Load::default(), None, ms(10));
+                let ended = Ended { outcome: outcome(rest[2]), remark, took, first_byte, over, load };
+                router.result(now, &rest[0].into(), rest[1].parse().expect("a number"), &ended, &mut record);
+            }
+            "left" => router.left(now, &rest[0].into(), &mut record),
+            "begun" => router.begun(&rest[0].into()),
+            "purge" => {
+                let object = rest.iter().find_map(|w| w.strip_prefix("object=")).map(Id::from);
+                router.purged(now, object, field("group", 0), ms(field("ago", 0)));
+            }
+            "clear" => (record.lines, expected) = (vec![], 0),
+            "expect" => {
+                let found = record.lines[expected..].iter().position(|l| matches(l, &pattern, &mut bound));
+                let found =
+                    found.unwrap_or_else(|| panic!("{place}\nnot found in {:#?}", &record.lines[expected..]));
+                expected += found + 1;
+            }
+            "never" => {
+                let found = record.lines.iter().find(|l| matches(l, &pattern, &mut bound));
+                assert!(found.is_none(), "{place}\nfound {found:?}");
+            }
+            "count" => {
+                let [words @ .., least, most] = rest else { panic!("{place}: no bounds") };
+                let count = record.lines.iter().filter(|l| matches(l, &words.join(" "), &mut bound)).count();
+                let (least, most) = (least.parse().expect("least"), most.parse().expect("most"));
+                assert!((least..=most).contains(&count), "{place}\n{count} in {:#?}", record.lines);
+            }
+            other => panic!("{place}: unknown verb {other}"),
+        }
+    }
+}
+
+#[test]
+fn scenarios() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/scenarios");
+    let mut files: Vec<_> =
+        std::fs::read_dir(folder).expect("scenarios").map(|f| f.expect("file").path()).collect();
+    files.sort();
+    assert!(!files.is_empty());
+    for file in files {
+        let text = std::fs::read_to_string(&file).expect("text");
+        play(&file.file_name().expect("name").to_string_lossy(), &text);
+    }
+}
