--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,34 @@
 //!
 //! [`control::Router`] holds every decision. [`interface`] holds the plain types it is called with and
 //! [`interface::Outlet`], through which it acts. Any front end can drive it; `crates/wirehost` is one.
+//!
+//! A front end turns what the router wants into messages of its own:
+//!
+//! ```
+//! use chalkhall::interface::{Fill, Id, Outlet};
+//! use std::time::Duration;
+//!
+//! struct Printer(Vec<String>);
+//!
+//! impl Outlet for Printer {
+//!     fn execute(&mut self, access: &Id, server: &Id, _limit: Duration, fill: &Fill) {
+//!         self.0.push(format!("{access}: {server}, filled from {}", fill.source));
+//!     }
+//!     fn decline(&mut self, access: &Id, _advice: Option<Duration>) {
+//!         self.0.push(format!("{access}: declined"));
+//!     }
+//!     fn give_up(&mut self, access: &Id) {
+//!         self.0.push(format!("{access}: given up"));
+//!     }
+//!     fn cancel(&mut self, _access: &Id, _execution: usize) {}
+//!     fn wake_at(&mut self, _at: Duration, _mark: u64) {}
+//!     fn watch_list(&mut self) {}
+//! }
+//!
+//! let mut out = Printer(Vec::new());
+//! out.decline(&"a1".into(), None);
+//! assert_eq!(out.0, ["a1: declined"]);
+//! ```
 
 pub mod control;
 pub mod interface;
