A broken connection is half its server's; a late fill cuts the limit to 0.8

Two in a row set a sound cache aside, and its objects moved to caches without copies. The half blame should also catch flaky links and restarts of proxies between; it may hurt where a crashing server only breaks connections and is never unreachable: it then takes four, not two.

--- a/src/control.rs
+++ b/src/control.rs
@@ -39,7 +39,7 @@
 const PATIENCE: f64 = 3.0;
 
 /// Fills under way: one more allowed for as many as end in time, a cut at most this often when one is late.
-const FILL_CUT: f64 = 0.9;
+const FILL_CUT: f64 = 0.8;
 const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
 const FILLS_LEAST: f64 = 2.0;
 /// The wait that a declined client is advised; that before the list is asked for again.
@@ -644,13 +644,14 @@
         let Some(access) = self.accesses.get(id) else { return };
         let (kb, rank) = (access.arrival.kb, access.rank);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
-        // How much of it is laid to the server and to the source; a slow fill may be the fault of either.
+        // How much is laid to the server and to the source: a slow fill may be the fault of either, a broken
+        // connection that of the network between.
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
             (Honoured, _) => (1.0, if hit { 0.0 } else { 1.0 }),
-            (Unreachable | Broken, _) => (1.0, 0.0),
+            (Broken, _) => (0.5, 0.0),
             (_, Remark::SourceUnreached) => (0.0, 1.0),
             (Error | TimedOut, Remark::None) if filling => (0.5, 0.5),
-            (Error | TimedOut, Remark::None) => (1.0, 0.0),
+            (Unreachable, _) | (Error | TimedOut, Remark::None) => (1.0, 0.0),
             _ => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
