--- a/src/control.rs
+++ b/src/control.rs
@@ -4,8 +4,7 @@
 //! `result`, `begun`, `left`, `purged`, `wake`), each with the time since the start and the outlet through
 //! which the router acts. The types of these calls and the outlet are in `interface.rs`.
 //!
-//! Every execution passes `Router::send`, where the rules are enforced, and leaves a closure that is handed
-//! its result.
+//! Every execution passes `Router::send`, where the rules are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
 use lru::LruCache;
@@ -58,7 +57,7 @@
 
 // ---- The id list: sightings, admission and ranks ----
 
-/// Recent values, in order of arrival and of size.
+/// Recent values, by arrival and by size.
 #[derive(Default)]
 struct Recent {
     arrived: VecDeque<f64>,
@@ -644,8 +643,8 @@
         let Some(access) = self.accesses.get(id) else { return };
         let (kb, rank) = (access.arrival.kb, access.rank);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
-        // How much is laid to the server and to the source: a slow fill may be the fault of either, a broken
-        // connection that of the network between.
+        // How much is laid to the server and to the source: a slow fill may be due to either end, a broken
+        // connection to the network.
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
             (Honoured, _) => (1.0, if hit { 0.0 } else { 1.0 }),
             (Broken, _) => (0.5, 0.0),
