--- a/src/control.rs
+++ b/src/control.rs
@@ -9,8 +9,7 @@
 use crate::interface::*;
 use lru::LruCache;
 use std::collections::{BTreeMap, HashMap, VecDeque};
-use std::num::NonZeroUsize;
-use std::time::Duration;
+use std::{num::NonZeroUsize, time::Duration};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The id list's bound, and how many sightings are needed before the gate and the ranks act (design
@@ -57,7 +56,6 @@
 
 // ---- The id list: sightings, admission and ranks ----
 
-/// Recent values, by arrival and by size.
 #[derive(Default)]
 struct Recent {
     arrived: VecDeque<f64>,
@@ -76,8 +74,7 @@
 
     /// The value that this share of them lies below.
     fn quantile(&self, share: f64) -> f64 {
-        let place = (self.sorted.len() as f64 * share) as usize;
-        self.sorted.get(place).copied().unwrap_or(0.0)
+        self.sorted.get((self.sorted.len() as f64 * share) as usize).copied().unwrap_or(0.0)
     }
 }
 
@@ -91,8 +88,8 @@
     rank: u8,
     /// Its access was not honoured: the client's own retry is no new sighting.
     unmet: bool,
-    /// The cache that last answered from a copy of it, or was told to keep one.
-    held: Option<Id>,
+    /// The cache that last answered from a copy of it, or was told to keep one, and when.
+    held: Option<(Id, Duration)>,
 }
 
 /// The recency-ordered list of ids, and what a sighting is judged against.
@@ -239,7 +236,7 @@
     purge_done: Duration,
     pass_through: bool,
     joins: bool,
-    // What it has seen.
+
     started: Duration,
     servers: BTreeMap<Id, Server>,
     ids: IdList,
@@ -399,8 +396,11 @@
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
         let kept = self.categories[access.arrival.category].cacheable;
+        // What was purged since is no copy any more.
+        let purged = self.last_purge(access);
         let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
-        kept && route.source != route.server && held != Some(&route.server)
+        let held = held.is_some_and(|(at, when)| *at == route.server && purged.is_none_or(|p| p < *when));
+        kept && route.source != route.server && !held
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
@@ -547,14 +547,17 @@
         }
     }
 
+    fn last_purge(&self, access: &Access) -> Option<Duration> {
+        let group = self.purged_groups.get(&access.arrival.group);
+        group.max(self.purged_objects.get(&access.arrival.object)).copied()
+    }
+
     /// Rule 5: the oldest copy that will do, counted from the purge, and never zero: that would mean any age.
     fn oldest(&self, now: Duration, access: &Access) -> Option<Duration> {
         let fresh = self.categories[access.arrival.category].fresh;
-        let object = self.purged_objects.get(&access.arrival.object);
-        let purge = object.max(self.purged_groups.get(&access.arrival.group));
         let left = self.purge_done + self.margin;
-        let current = purge.filter(|at| now < **at + left);
-        let since = current.map(|at| now.saturating_sub(*at).max(Duration::from_micros(1)));
+        let current = self.last_purge(access).filter(|at| now < *at + left);
+        let since = current.map(|at| now.saturating_sub(at).max(Duration::from_micros(1)));
         since.into_iter().chain(fresh).min()
     }
 
@@ -589,8 +592,8 @@
             renew: false,
         };
         let watched = idempotent && self.may_cancel && !category.streamed;
-        let (kb, limit) = (access.arrival.kb, access.due - now);
-        let look_at = (OVERHEAD + access.work).mul_f64(PATIENCE);
+        let (kb, limit, wait) =
+            (access.arrival.kb, access.due - now, (OVERHEAD + access.work).mul_f64(PATIENCE));
         let weights = [server, source].map(|s| self.weight(s, access));
         let span = self.cold[0].0.span.max(self.cold[1].0.span);
         for (name, weight) in route.ends().zip(weights) {
@@ -611,7 +614,7 @@
         access.executions.push(Execution { next: Some(next), filling });
         if watched {
             let (id, route) = looked;
-            self.after(turn, look_at, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, now)));
+            self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, now)));
         }
         true
     }
@@ -668,7 +671,7 @@
             }
         }
         if !failed && let Some(seen) = self.ids.known(&access.arrival) {
-            seen.held = (hit || rank > 0).then(|| route.server.clone());
+            seen.held = (hit || rank > 0).then(|| (route.server.clone(), now));
             seen.cost = ended.first_byte.map(|wait| (wait.as_secs_f64() * 1e3).max(1.0)).or(seen.cost);
         }
     }
@@ -682,9 +685,9 @@
         self.learn(turn.now, id, route, filling, ended);
         if filling {
             // One whose server or source is dead says nothing of how many the links bear.
-            let told =
-                !matches!(ended.outcome, Cancelled | Missing) && ended.remark != Remark::SourceUnreached;
-            self.fill_ended(turn, told.then_some(ended.outcome == Honoured && turn.now <= soft));
+            let dead =
+                ended.remark == Remark::SourceUnreached || matches!(ended.outcome, Cancelled | Missing);
+            self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         let Some(access) = self.accesses.get_mut(id) else { return };
         if matches!(ended.outcome, Error | TimedOut | Broken | Cancelled) && access.ran.is_none() {
@@ -733,7 +736,6 @@
 }
 
 impl Route {
-    /// The server, and the source where it is another.
     fn ends(&self) -> impl Iterator<Item = &Id> {
         [Some(&self.server), Some(&self.source).filter(|s| **s != self.server)].into_iter().flatten()
     }
