--- a/src/control.rs
+++ b/src/control.rs
@@ -382,9 +382,15 @@
 
     /// The next execution of an access, or a wait, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
-        let route = self.route(turn.now, id);
-        if self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
-            return self.hold(turn, id);
+        let mut route = self.route(turn.now, id);
+        let likely = route.as_ref().is_some_and(|r| self.likely_fill(id, r));
+        if let Some(route) = route.as_mut().filter(|_| likely && self.fills_out >= self.fills_most) {
+            // While fills are short, who still has it serves it: an empty cache that came back, or one less
+            // crowded, would fill it through a full link.
+            match self.held_at(id).filter(|at| self.may_serve(turn.now, at, id)) {
+                Some(holder) => route.server = holder,
+                None => return self.hold(turn, id),
+            }
         }
         let sent = route.is_some_and(|route| self.send(turn, id, route));
         if !sent && self.accesses.get(id).is_some_and(|a| a.open == 0) {
@@ -392,15 +398,24 @@
         }
     }
 
+    /// The cache that is known to hold it; what was purged since is no copy any more.
+    fn held_at(&mut self, id: &Id) -> Option<Id> {
+        let access = self.accesses.get(id)?;
+        let purged = self.last_purge(access);
+        let (at, when) = self.ids.known(&access.arrival)?.held.as_ref()?;
+        purged.is_none_or(|p| p < *when).then(|| at.clone())
+    }
+
+    fn may_serve(&self, now: Duration, server: &Id, id: &Id) -> bool {
+        let both = self.servers.get(server).zip(self.accesses.get(id));
+        both.is_some_and(|(s, a)| s.sound(now) && !a.failed.contains(server) && self.may_take(now, s, a))
+    }
+
     /// The cache is not known to hold it: it would take a fill through the location's link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
-        let Some(access) = self.accesses.get(id) else { return false };
-        let kept = self.categories[access.arrival.category].cacheable;
-        // What was purged since is no copy any more.
-        let purged = self.last_purge(access);
-        let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
-        let held = held.is_some_and(|(at, when)| *at == route.server && purged.is_none_or(|p| p < *when));
-        kept && route.source != route.server && !held
+        let category = self.accesses.get(id).map(|a| &self.categories[a.arrival.category]);
+        let fills = route.source != route.server && category.is_some_and(|c| c.cacheable);
+        fills && self.held_at(id).as_ref() != Some(&route.server)
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
