--- a/src/control.rs
+++ b/src/control.rs
@@ -236,6 +236,7 @@
     purge_done: Duration,
     pass_through: bool,
     joins: bool,
+    siblings: bool,
 
     started: Duration,
     servers: BTreeMap<Id, Server>,
@@ -278,6 +279,7 @@
             purge_done: told.purge_done,
             pass_through: told.pass_through,
             joins: told.joins,
+            siblings: told.siblings != Siblings::None,
             started: now,
             fills_cut: now,
             mean_work: vec![(0.0, 0.0); told.categories.len()],
@@ -384,13 +386,13 @@
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
         let mut route = self.route(turn.now, id);
         let likely = route.as_ref().is_some_and(|r| self.likely_fill(id, r));
-        if let Some(route) = route.as_mut().filter(|_| likely && self.fills_out >= self.fills_most) {
-            // While fills are short, who still has it serves it: an empty cache that came back, or one less
-            // crowded, would fill it through a full link.
-            match self.held_at(id).filter(|at| self.may_serve(turn.now, at, id)) {
-                Some(holder) => route.server = holder,
-                None => return self.hold(turn, id),
-            }
+        // A sibling that still has it fills it past the location's link.
+        let sibling = self.sibling(turn.now, id).filter(|_| likely);
+        if likely && sibling.is_none() && self.fills_out >= self.fills_most {
+            return self.hold(turn, id);
+        }
+        if let (Some(route), Some(sibling)) = (route.as_mut(), sibling) {
+            route.source = sibling;
         }
         let sent = route.is_some_and(|route| self.send(turn, id, route));
         if !sent && self.accesses.get(id).is_some_and(|a| a.open == 0) {
@@ -406,9 +408,11 @@
         purged.is_none_or(|p| p < *when).then(|| at.clone())
     }
 
-    fn may_serve(&self, now: Duration, server: &Id, id: &Id) -> bool {
-        let both = self.servers.get(server).zip(self.accesses.get(id));
-        both.is_some_and(|(s, a)| s.sound(now) && !a.failed.contains(server) && self.may_take(now, s, a))
+    fn sibling(&mut self, now: Duration, id: &Id) -> Option<Id> {
+        let holder = self.held_at(id).filter(|_| self.siblings)?;
+        let (s, a) = self.servers.get(&holder).zip(self.accesses.get(id))?;
+        let fit = s.member.tier == Tier::Cache && s.sound(now) && !a.failed.contains(&holder);
+        (fit && self.may_take(now, s, a)).then_some(holder)
     }
 
     /// The cache is not known to hold it: it would take a fill through the location's link.
