--- a/src/control.rs
+++ b/src/control.rs
@@ -236,7 +236,6 @@
     purge_done: Duration,
     pass_through: bool,
     joins: bool,
-    siblings: bool,
 
     started: Duration,
     servers: BTreeMap<Id, Server>,
@@ -279,7 +278,6 @@
             purge_done: told.purge_done,
             pass_through: told.pass_through,
             joins: told.joins,
-            siblings: told.siblings != Siblings::None,
             started: now,
             fills_cut: now,
             mean_work: vec![(0.0, 0.0); told.categories.len()],
@@ -384,42 +382,25 @@
 
     /// The next execution of an access, or a wait, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
-        let mut route = self.route(turn.now, id);
-        let likely = route.as_ref().is_some_and(|r| self.likely_fill(id, r));
-        // A sibling that still has it fills it past the location's link.
-        let sibling = self.sibling(turn.now, id).filter(|_| likely);
-        if likely && sibling.is_none() && self.fills_out >= self.fills_most {
+        let route = self.route(turn.now, id);
+        if self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
             return self.hold(turn, id);
         }
-        if let (Some(route), Some(sibling)) = (route.as_mut(), sibling) {
-            route.source = sibling;
-        }
         let sent = route.is_some_and(|route| self.send(turn, id, route));
         if !sent && self.accesses.get(id).is_some_and(|a| a.open == 0) {
             self.end(turn, id);
         }
     }
 
-    /// The cache that is known to hold it; what was purged since is no copy any more.
-    fn held_at(&mut self, id: &Id) -> Option<Id> {
-        let access = self.accesses.get(id)?;
-        let purged = self.last_purge(access);
-        let (at, when) = self.ids.known(&access.arrival)?.held.as_ref()?;
-        purged.is_none_or(|p| p < *when).then(|| at.clone())
-    }
-
-    fn sibling(&mut self, now: Duration, id: &Id) -> Option<Id> {
-        let holder = self.held_at(id).filter(|_| self.siblings)?;
-        let (s, a) = self.servers.get(&holder).zip(self.accesses.get(id))?;
-        let fit = s.member.tier == Tier::Cache && s.sound(now) && !a.failed.contains(&holder);
-        (fit && self.may_take(now, s, a)).then_some(holder)
-    }
-
     /// The cache is not known to hold it: it would take a fill through the location's link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
-        let category = self.accesses.get(id).map(|a| &self.categories[a.arrival.category]);
-        let fills = route.source != route.server && category.is_some_and(|c| c.cacheable);
-        fills && self.held_at(id).as_ref() != Some(&route.server)
+        let Some(access) = self.accesses.get(id) else { return false };
+        let kept = self.categories[access.arrival.category].cacheable;
+        // What was purged since is no copy any more.
+        let purged = self.last_purge(access);
+        let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
+        let held = held.is_some_and(|(at, when)| *at == route.server && purged.is_none_or(|p| p < *when));
+        kept && route.source != route.server && !held
     }
 
     /// More fills than the links and sources end in time make every one of them late, and what times out
