--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -21,10 +21,15 @@
     span.as_nanos() as f64 / 1e6
 }
 
+/// Any figure of a deployment is far below this; spans made of greater ones could not be added up.
+const GREATEST: f64 = 1e12;
+
 pub fn number(fields: &Fields, name: &str) -> Result<f64, String> {
-    match fields.get(name) {
-        None | Some(Value::Null) => Ok(0.0),
-        Some(v) => v.as_f64().ok_or_else(|| format!("{name} is not a number")),
+    match fields.get(name).map(Value::as_f64) {
+        _ if fields.get(name).is_none_or(Value::is_null) => Ok(0.0),
+        Some(Some(v)) if v.abs() <= GREATEST => Ok(v),
+        Some(Some(v)) => Err(format!("{name} is out of range: {v}")),
+        _ => Err(format!("{name} is not a number")),
     }
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -316,7 +316,7 @@
         let turn = &mut Turn { now, out };
         let category = &self.categories[arrival.category];
         let rank = if category.cacheable { self.ids.sight(now, &arrival, category.fresh) } else { 0 };
-        let work = Duration::from_secs_f64(arrival.kb / self.kb_per_s);
+        let work = Duration::from_secs_f64((arrival.kb / self.kb_per_s).clamp(0.0, 1e6));
         let (mean, of) = &mut self.mean_work[arrival.category];
         *of = (*of + 1.0).min(256.0);
         *mean += (work.as_secs_f64() - *mean) / *of;
