--- a/src/control.rs
+++ b/src/control.rs
@@ -463,9 +463,13 @@
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
         let crowded = |s: &Server| s.kb_under_way > CROWDED * average;
+        // Objects return to an empty cache one by one as it warms: all at once would fill the link.
+        let place = xxh3_64_with_seed(access.arrival.object.as_bytes(), 1) as f64 / 2f64.powi(64);
+        let turn = self.cold[0].0.warm_within.mul_f64(place);
+        let early = |s: &Server| s.member.started.is_some_and(|at| now < at + turn);
         let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
         let sound = || left().filter(|s| any || s.sound(now));
-        sound().find(|s| !crowded(s)).or(sound().next())
+        sound().find(|s| !crowded(s) && !early(s)).or(sound().find(|s| !crowded(s))).or(sound().next())
     }
 
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
