The origin is judged by how long it keeps fills waiting

Told apart by the first byte: by a parent as ever. Should also catch an origin behind a slow way; may hurt with very short soft limits.

--- a/src/control.rs
+++ b/src/control.rs
@@ -48,7 +48,6 @@
 type Then = Box<dyn FnOnce(&mut Router, &mut Turn)>;
 type Next = Box<dyn FnOnce(&mut Router, &mut Turn, &Ended)>;
 
-/// One call: its time and where its answers go.
 struct Turn<'a> {
     now: Duration,
     out: &'a mut dyn Outlet,
@@ -183,8 +182,6 @@
     }
 }
 
-// ---- One execution, one access ----
-
 struct Execution {
     next: Option<Next>,
     /// It counts among the fills under way.
@@ -211,7 +208,7 @@
     ended: bool,
     /// The first execution that may have run: when, and where.
     ran: Option<(Duration, Id)>,
-    /// Servers and sources that failed this access.
+
     failed: Vec<Id>,
 }
 
@@ -220,7 +217,6 @@
 /// The instance: one router of one location.
 #[derive(Default)]
 pub struct Router {
-    // What it derives from what it is told at its start.
     location: usize,
     categories: Vec<Category>,
     margin: Duration,
@@ -392,11 +388,11 @@
         }
     }
 
-    /// The cache is not known to hold it: it would take a fill through the location's link.
+    /// The cache is not known to hold it, or it was purged since: it would take a fill through the link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
         let kept = self.categories[access.arrival.category].cacheable;
-        // What was purged since is no copy any more.
+
         let purged = self.last_purge(access);
         let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
         let held = held.is_some_and(|(at, when)| *at == route.server && purged.is_none_or(|p| p < *when));
@@ -463,13 +459,9 @@
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
         let crowded = |s: &Server| s.kb_under_way > CROWDED * average;
-        // Objects return to an empty cache one by one as it warms: all at once would fill the link.
-        let place = xxh3_64_with_seed(access.arrival.object.as_bytes(), 1) as f64 / 2f64.powi(64);
-        let turn = self.cold[0].0.warm_within.mul_f64(place);
-        let early = |s: &Server| s.member.started.is_some_and(|at| now < at + turn);
         let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
         let sound = || left().filter(|s| any || s.sound(now));
-        sound().find(|s| !crowded(s) && !early(s)).or(sound().find(|s| !crowded(s))).or(sound().next())
+        sound().find(|s| !crowded(s)).or(sound().next())
     }
 
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
@@ -483,9 +475,9 @@
             let sound = pick(Tier::Parent, false).or_else(|| pick(Tier::Origin, false));
             sound.or_else(|| pick(Tier::Parent, true)).or_else(|| pick(Tier::Origin, true))
         };
-        let passes = self.pass_through;
+
         // What no cache may keep runs at the origin: the caches on the way could only fail it.
-        if passes
+        if self.pass_through
             && !self.categories[access.arrival.category].cacheable
             && let Some(origin) = pick(Tier::Origin, true)
         {
@@ -498,7 +490,7 @@
                 let source = source().unwrap_or(cache);
                 Some(Route { server: name(cache), source: name(source) })
             }
-            None if passes => source().map(straight),
+            None if self.pass_through => source().map(straight),
             None => None,
         }
     }
@@ -674,6 +666,12 @@
                 server.judge(now, failed, weight);
             }
         }
+        // Behind a parent the origin is judged by how long it kept a fill waiting.
+        if matches!(ended.remark, Remark::OriginFailed | Remark::FilledByOrigin) {
+            let slow = ended.first_byte > Some(self.categories[access.arrival.category].soft_limit);
+            let origins = self.servers.values_mut().filter(|s| s.member.tier == Tier::Origin);
+            origins.for_each(|origin| origin.judge(now, failed || slow, 1.0));
+        }
         if !failed && let Some(seen) = self.ids.known(&access.arrival) {
             seen.held = (hit || rank > 0).then(|| (route.server.clone(), now));
             seen.cost = ended.first_byte.map(|wait| (wait.as_secs_f64() * 1e3).max(1.0)).or(seen.cost);
