--- a/src/control.rs
+++ b/src/control.rs
@@ -640,7 +640,7 @@
     fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
-        let (kb, rank) = (access.arrival.kb, access.rank);
+        let (kb, rank, soft) = (access.arrival.kb, access.rank, access.soft);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
         // How much is laid to the server and to the source: a slow fill may be due to either end, a broken
         // connection to the network.
@@ -663,7 +663,7 @@
                 server.heard = now;
             }
             if weight > 0.0 {
-                server.judge(now, failed, weight);
+                server.judge(now, failed || server.member.tier == Tier::Origin && now > soft, weight);
             }
         }
         // Behind a parent the origin is judged by how long it kept a fill waiting.
