Crowding leaves room for one transfer: with few of one's own out, one alone was over twice the average

Now a member is crowded when it holds one transfer (as large as the one to be placed) more than twice the average.

--- a/src/control.rs
+++ b/src/control.rs
@@ -458,7 +458,7 @@
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
-        let crowded = |s: &Server| s.kb_under_way > CROWDED * average;
+        let crowded = |s: &Server| s.kb_under_way > CROWDED * average + access.arrival.kb;
         let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
         let sound = || left().filter(|s| any || s.sound(now));
         sound().find(|s| !crowded(s)).or(sound().next())
