Patience follows what is called off, so that a slow tier is not taken for silent servers

It guards against any slowness shared by all servers (full links, a slow origin); it hurts where more than a twentieth of executions meet silent servers, found a little later.

--- a/src/control.rs
+++ b/src/control.rs
@@ -32,9 +32,13 @@
 const COLD_MARGIN: f64 = 0.6;
 const COLD_MARGIN_ROUGH: f64 = 0.45;
 
-/// What an answer takes beside its sending time, and the multiple of both after which it is looked into.
+/// What an answer takes beside its sending time, and the least multiple of both after which it is looked
+/// into; that multiple grows with each execution called off and falls with each honoured: about one in
+/// twenty is called off where nothing is silent but all is slow.
 const OVERHEAD: Duration = Duration::from_millis(100);
 const PATIENCE: f64 = 3.0;
+const PATIENCE_GROWS: f64 = 1.2;
+const PATIENCE_FALLS: f64 = 0.99;
 
 /// Fills under way: one more allowed for as many as end in time, a cut at most this often when one is late.
 const FILL_CUT: f64 = 0.8;
@@ -248,6 +252,7 @@
     fills_out: f64,
     fills_most: f64,
     fills_cut: Duration,
+    patience: f64,
     waiting: Vec<Id>,
 }
 
@@ -276,6 +281,7 @@
             joins: told.joins,
             started: now,
             fills_cut: now,
+            patience: PATIENCE,
             mean_work: vec![(0.0, 0.0); told.categories.len()],
             ..Router::default()
         }
@@ -589,7 +595,7 @@
         };
         let watched = idempotent && self.may_cancel && !category.streamed;
         let (kb, limit, wait) =
-            (access.arrival.kb, access.due - now, (OVERHEAD + access.work).mul_f64(PATIENCE));
+            (access.arrival.kb, access.due - now, (OVERHEAD + access.work).mul_f64(self.patience));
         let weights = [server, source].map(|s| self.weight(s, access));
         let span = self.cold[0].0.span.max(self.cold[1].0.span);
         for (name, weight) in route.ends().zip(weights) {
@@ -631,6 +637,7 @@
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
                 server.judge(turn.now, true, 1.0);
                 access.failed.push(name.clone());
+                self.patience *= PATIENCE_GROWS;
                 return turn.out.cancel(id, n);
             }
         }
@@ -653,6 +660,9 @@
             _ => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
+        if !failed {
+            self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
+        }
         let silent = matches!(ended.outcome, Unreachable | Broken | TimedOut | Cancelled | NeverSent);
         for (name, weight) in route.ends().zip([at_server, at_source]) {
             let Some(server) = self.servers.get_mut(name) else { continue };
