An overdue fill alone does not convict its server: it is called off once the server is set aside

A fill is slow for many reasons; where a router hears of a server seldom, one overdue fill was enough to start it anew elsewhere. A believed hit that is overdue is still called off at once.

--- a/src/control.rs
+++ b/src/control.rs
@@ -630,12 +630,17 @@
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
         // A copy would have been sent by now: it is being filled after all.
-        if !std::mem::replace(&mut execution.filling, true) {
+        let filling = std::mem::replace(&mut execution.filling, true);
+        if !filling {
             self.fills_out += 1.0;
         }
         for name in route.ends() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
                 server.judge(turn.now, true, 1.0);
+                if filling && server.aside.is_none() {
+                    let (id, route, wait) = (id.clone(), route.clone(), turn.now - sent);
+                    return self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)));
+                }
                 access.failed.push(name.clone());
                 self.patience *= PATIENCE_GROWS;
                 return turn.out.cancel(id, n);
