A hit that is slow counts against its cache: servers that age answer until they die

A hit owes nothing to links, parents or origin, so one that takes over twice its sending time and 100 ms is laid to the cache. It should catch any cache that is slow from within: ageing, a noisy neighbour, a crowded link out; it hurts where all caches are overloaded at once, when all are set aside and the hash goes on among them.

--- a/src/control.rs
+++ b/src/control.rs
@@ -39,6 +39,8 @@
 const PATIENCE: f64 = 3.0;
 const PATIENCE_GROWS: f64 = 1.2;
 const PATIENCE_FALLS: f64 = 0.99;
+/// A hit that takes this multiple of its usual counts as failed.
+const SLOW_HIT: f64 = 2.0;
 
 /// Fills under way: one more allowed for as many as end in time, a cut at most this often when one is late.
 const FILL_CUT: f64 = 0.8;
@@ -639,7 +641,11 @@
                 server.judge(turn.now, true, 1.0);
                 if filling && server.aside.is_none() {
                     let (id, route, wait) = (id.clone(), route.clone(), turn.now - sent);
-                    return self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)));
+                    return self.after(
+                        turn,
+                        wait,
+                        Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)),
+                    );
                 }
                 access.failed.push(name.clone());
                 self.patience *= PATIENCE_GROWS;
@@ -652,7 +658,7 @@
     fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
-        let (kb, rank, soft) = (access.arrival.kb, access.rank, access.soft);
+        let (kb, rank, soft, work) = (access.arrival.kb, access.rank, access.soft, access.work);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
         // How much is laid to the server and to the source: a slow fill may be due to either end, a broken
         // connection to the network.
@@ -665,6 +671,8 @@
             _ => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
+        // Only the cache itself can make a hit slow: one that ages answers, later and later, until it dies.
+        let late_hit = hit && ended.took > (OVERHEAD + work).mul_f64(SLOW_HIT);
         if !failed {
             self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
         }
@@ -678,7 +686,11 @@
                 server.heard = now;
             }
             if weight > 0.0 {
-                server.judge(now, failed || server.member.tier == Tier::Origin && now > soft, weight);
+                server.judge(
+                    now,
+                    failed || late_hit || server.member.tier == Tier::Origin && now > soft,
+                    weight,
+                );
             }
         }
         // Behind a parent the origin is judged by how long it kept a fill waiting.
