The limit of fills grows by a fiftieth at most, only while half of it is used, with a least of one

Bounded by a fiftieth, one share of late fills balances it at any size below seven; unused it no longer grows.

--- a/src/control.rs
+++ b/src/control.rs
@@ -44,8 +44,9 @@
 
 /// Fills under way: one more allowed for as many as end in time, a cut at most this often when one is late.
 const FILL_CUT: f64 = 0.8;
+const FILL_GROW: f64 = 0.02;
 const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
-const FILLS_LEAST: f64 = 2.0;
+const FILLS_LEAST: f64 = 1.0;
 /// The wait that a declined client is advised; that before the list is asked for again.
 const ADVICE: Duration = Duration::from_millis(200);
 const LIST_AGAIN: Duration = Duration::from_millis(1000);
@@ -428,9 +429,10 @@
 
     /// A fill ended: how many may be out follows, and those that wait go, most benefit for the work first.
     fn fill_ended(&mut self, turn: &mut Turn, in_time: Option<bool>) {
+        let in_use = self.fills_out >= self.fills_most / 2.0;
         self.fills_out -= 1.0;
-        if in_time == Some(true) {
-            self.fills_most += 1.0 / self.fills_most;
+        if in_time == Some(true) && in_use {
+            self.fills_most += (FILL_GROW * self.fills_most).min(1.0 / self.fills_most);
         } else if in_time == Some(false) && turn.now >= self.fills_cut + FILL_CUT_EVERY {
             self.fills_most = (self.fills_most * FILL_CUT).max(FILLS_LEAST);
             self.fills_cut = turn.now;
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,7 +7,7 @@
 //!   whole SERVER..                the whole list
 //!   access ID [category=0 object=ID part=0 group=0 kb=100 left=4000 repeated=0]
 //!   accesses COUNT ID [..]        many at once: ID0, ID1.., each for an object of its own unless named
-//!   result ID N OUTCOME [REMARK] [over] [waited=MS]      left ID      begun ID      purge [object=X group=0 ago=0]
+//!   result ID N OUTCOME [REMARK] [over] [waited=MS] [took=MS]     left ID      begun ID      purge [object=X group=0 ago=0]
 //! What must follow, among the actions since the start or the last `clear`:
 //!   expect PATTERN                one that matches, after those expected before; `*` is any word or the
 //!                                 rest, $X binds a word at first and stands for it afterwards
@@ -245,7 +245,7 @@
                 };
                 let over = rest[2] == "honoured" || rest.contains(&"over");
                 let first_byte = Some(field("waited", 0)).filter(|w| *w > 0).map(ms);
-                let (load, took) = (Load::default(), ms(10));
+                let (load, took) = (Load::default(), ms(field("took", 10)));
                 let ended = Ended { outcome: outcome(rest[2]), remark, took, first_byte, over, load };
                 router.result(now, &rest[0].into(), rest[1].parse().expect("a number"), &ended, &mut record);
             }
