Crowding asks for a second transfer in place of one as large as the one to be placed

A page of 30 KB passed over every cache that sent a part of a video. One transfer alone is no crowd, whatever its size.

--- a/src/control.rs
+++ b/src/control.rs
@@ -160,6 +160,7 @@
     /// Work sent to it within the span of a fall.
     sent: VecDeque<(Duration, f64)>,
     kb_under_way: f64,
+    out: u32,
 
     /// Log odds that it is broken; set aside: when its next execution is due, and how far apart they are.
     doubt: f64,
@@ -468,7 +469,7 @@
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
-        let crowded = |s: &Server| s.kb_under_way > CROWDED * average + access.arrival.kb;
+        let crowded = |s: &Server| s.out > 1 && s.kb_under_way > CROWDED * average;
         let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
         let sound = || left().filter(|s| any || s.sound(now));
         sound().find(|s| !crowded(s)).or(sound().next())
@@ -607,6 +608,7 @@
             server.sent.retain(|(at, _)| *at + span > now);
             server.sent.push_back((now, weight));
             server.kb_under_way += kb;
+            server.out += 1;
 
             server.aside = server.aside.map(|(_, spacing)| (now + spacing, spacing));
         }
@@ -682,6 +684,7 @@
         for (name, weight) in route.ends().zip([at_server, at_source]) {
             let Some(server) = self.servers.get_mut(name) else { continue };
             server.kb_under_way = (server.kb_under_way - kb).max(0.0);
+            server.out = server.out.saturating_sub(1);
 
             let first = *name == route.server;
             if !silent && (first || !failed && !hit) {
