First sightings at a shared location: kept at the bottom rank as often as such sightings were hits

A router sees others' repeats as hits on what it never asked for; as often as its first sightings lately were hits, the next is kept, by the seeded chance, at rank 1, where it displaces only its like. It hurts where the caches' first contents hit for a while.

--- a/crates/wirehost/src/start.rs
+++ b/crates/wirehost/src/start.rs
@@ -75,7 +75,7 @@
     })
 }
 
-pub fn deployment(options: &Fields) -> Result<Deployment, String> {
+pub fn deployment(seed: u64, options: &Fields) -> Result<Deployment, String> {
     let family = part(options, "FamilyInfo")?;
     let limits = part(options, "Limits")?;
     let rules = part(options, "Obligations")?;
@@ -85,6 +85,7 @@
     let fall = span_of(&rules, "Fall")?;
     Ok(Deployment {
         number: whole(options, "MyNumber")?,
+        seed,
         routers: whole(options, "PeersTotal")? as usize,
         location: whole(options, "Locality")? as usize,
         routers_at: count_all("CrewByZone")?,
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -232,7 +232,7 @@
         let now = self.now;
         if name == "Boot" {
             let options = f.get("Options").and_then(Value::as_object).ok_or("Options is not an object")?;
-            let told = start::deployment(options)?;
+            let told = start::deployment(whole(f, "Salt")?, options)?;
             let router = Router::start(now, &told, out);
             let (report, classes) = (start::report_fields(options), told.categories.len());
             let parent_and_origin = start::parent_and_origin(options);
--- a/src/control.rs
+++ b/src/control.rs
@@ -18,6 +18,7 @@
 const SIGHTINGS_BEFORE_GATE: usize = 64;
 const SCORES_BEFORE_RANKS: usize = 256;
 const RECENT: usize = 1024;
+const SHARED_OVER: f64 = 32.0;
 /// A member holding over this multiple of the average bytes under way is passed over (design page).
 const CROWDED: f64 = 2.0;
 /// Sequential test: chance of a failure at a sound and at a broken server, and the odds that decide.
@@ -104,12 +105,22 @@
     accesses: u64,
     scores: Recent,
     values: Recent,
+    /// Share of first sightings lately that were hits: of what others of the location asked to keep.
+    shared: f64,
+    chance: fastrand::Rng,
 }
 
 impl Default for IdList {
     fn default() -> IdList {
         let (scores, values) = (Recent::default(), Recent::default());
-        IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values }
+        IdList {
+            seen: LruCache::new(ID_LIST),
+            accesses: 0,
+            scores,
+            values,
+            shared: 0.0,
+            chance: fastrand::Rng::with_seed(0),
+        }
     }
 }
 
@@ -121,7 +132,7 @@
         let count = self.accesses;
         let Some(seen) = self.seen.get_mut(&key) else {
             self.seen.put(key, Seen { count, at: now, ..Seen::default() });
-            return 0;
+            return u8::from(self.chance.f64() < self.shared);
         };
         // A retry would pass for a second sighting and admit what is asked for once only.
         if arrival.repeated || std::mem::take(&mut seen.unmet) {
@@ -207,6 +218,7 @@
 struct Access {
     arrival: Arrival,
     rank: u8,
+    first: bool,
     /// Its sending time at the client's pace, its soft limit, and when its final answer is out at the latest.
     work: Duration,
     soft: Duration,
@@ -281,6 +293,7 @@
             may_cancel: told.may_cancel,
             advice: told.longest_advice.map(|longest| longest.min(ADVICE)),
             purge_done: told.purge_done,
+            ids: IdList { chance: fastrand::Rng::with_seed(told.seed), ..IdList::default() },
             pass_through: told.pass_through,
             joins: told.joins,
             started: now,
@@ -321,6 +334,7 @@
     pub fn access(&mut self, now: Duration, arrival: Arrival, out: &mut dyn Outlet) {
         let turn = &mut Turn { now, out };
         let category = &self.categories[arrival.category];
+        let first = category.cacheable && self.ids.known(&arrival).is_none();
         let rank = if category.cacheable { self.ids.sight(now, &arrival, category.fresh) } else { 0 };
         let work = Duration::from_secs_f64((arrival.kb / self.kb_per_s).clamp(0.0, 1e6));
         let (mean, of) = &mut self.mean_work[arrival.category];
@@ -329,7 +343,7 @@
         let due = now + arrival.left.saturating_sub(self.margin);
         let soft = now + category.soft_limit + work.mul_f64(category.soft_stretch);
         let id = arrival.id.clone();
-        let access = Access { arrival, rank, work, soft, due, ..Access::default() };
+        let access = Access { arrival, rank, first, work, soft, due, ..Access::default() };
         self.accesses.insert(id.clone(), access);
         let late = id.clone();
         self.after(turn, due.saturating_sub(now), Box::new(move |router, turn| router.end(turn, &late)));
@@ -704,6 +718,9 @@
             let origins = self.servers.values_mut().filter(|s| s.member.tier == Tier::Origin);
             origins.for_each(|origin| origin.judge(now, failed || slow, 1.0));
         }
+        if !failed && access.first {
+            self.ids.shared += (f64::from(u8::from(hit)) - self.ids.shared) / SHARED_OVER;
+        }
         if !failed && let Some(seen) = self.ids.known(&access.arrival) {
             seen.held = (hit || rank > 0).then(|| (route.server.clone(), now));
             seen.cost = ended.first_byte.map(|wait| (wait.as_secs_f64() * 1e3).max(1.0)).or(seen.cost);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -100,6 +100,8 @@
 pub struct Deployment {
     /// This router's number and how many there are.
     pub number: u64,
+    /// Where chance starts from.
+    pub seed: u64,
     pub routers: usize,
     pub location: usize,
     /// By location: how many routers serve it; the hub it is tied to; what its link carries (0: not told).
