--- a/src/control.rs
+++ b/src/control.rs
@@ -33,9 +33,8 @@
 const COLD_MARGIN: f64 = 0.6;
 const COLD_MARGIN_ROUGH: f64 = 0.45;
 
-/// What an answer takes beside its sending time, and the least multiple of both after which it is looked
-/// into; that multiple grows with each execution called off and falls with each honoured: about one in
-/// twenty is called off where nothing is silent but all is slow.
+/// What an answer takes beside its sending time, and the least multiple of both after which it is looked into;
+/// called off and honoured ones move it, so that one in twenty is called off where all is slow, none silent.
 const OVERHEAD: Duration = Duration::from_millis(100);
 const PATIENCE: f64 = 3.0;
 const PATIENCE_GROWS: f64 = 1.2;
@@ -105,34 +104,25 @@
     accesses: u64,
     scores: Recent,
     values: Recent,
-    /// Share of first sightings lately that were hits: of what others of the location asked to keep.
-    shared: f64,
-    chance: fastrand::Rng,
 }
 
 impl Default for IdList {
     fn default() -> IdList {
         let (scores, values) = (Recent::default(), Recent::default());
-        IdList {
-            seen: LruCache::new(ID_LIST),
-            accesses: 0,
-            scores,
-            values,
-            shared: 0.0,
-            chance: fastrand::Rng::with_seed(0),
-        }
+        IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values }
     }
 }
 
 impl IdList {
     /// Counts a sighting and gives the rank at which a copy is kept; 0: passed unkept.
-    fn sight(&mut self, now: Duration, arrival: &Arrival, fresh: Option<Duration>) -> u8 {
+    /// `shared`: a first sighting here is taken for a repeat at the location.
+    fn sight(&mut self, now: Duration, arrival: &Arrival, fresh: Option<Duration>, shared: bool) -> u8 {
         self.accesses += 1;
         let key = (arrival.object.clone(), arrival.part);
         let count = self.accesses;
         let Some(seen) = self.seen.get_mut(&key) else {
             self.seen.put(key, Seen { count, at: now, ..Seen::default() });
-            return u8::from(self.chance.f64() < self.shared);
+            return u8::from(shared);
         };
         // A retry would pass for a second sighting and admit what is asked for once only.
         if arrival.repeated || std::mem::take(&mut seen.unmet) {
@@ -163,8 +153,6 @@
     }
 }
 
-// ---- One cache server, parent or origin ----
-
 #[derive(Default)]
 struct Server {
     member: Member,
@@ -232,8 +220,6 @@
     failed: Vec<Id>,
 }
 
-// ---- The router ----
-
 /// The instance: one router of one location.
 #[derive(Default)]
 pub struct Router {
@@ -256,12 +242,14 @@
     started: Duration,
     servers: BTreeMap<Id, Server>,
     ids: IdList,
+    /// Share of first sightings lately that were hits: of what others of the location asked to keep.
+    shared: f64,
+    chance: fastrand::Rng,
     accesses: HashMap<Id, Access>,
     thens: HashMap<u64, Then>,
     last_mark: u64,
     /// Purges by object and by group, while older copies may be left.
-    purged_objects: HashMap<Id, Duration>,
-    purged_groups: HashMap<u64, Duration>,
+    purges: HashMap<Result<Id, u64>, Duration>,
     /// By category: mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
     /// Executions out that are likely to be fills, how many may be, when that was last cut, who waits.
@@ -293,7 +281,7 @@
             may_cancel: told.may_cancel,
             advice: told.longest_advice.map(|longest| longest.min(ADVICE)),
             purge_done: told.purge_done,
-            ids: IdList { chance: fastrand::Rng::with_seed(told.seed), ..IdList::default() },
+            chance: fastrand::Rng::with_seed(told.seed),
             pass_through: told.pass_through,
             joins: told.joins,
             started: now,
@@ -335,7 +323,8 @@
         let turn = &mut Turn { now, out };
         let category = &self.categories[arrival.category];
         let first = category.cacheable && self.ids.known(&arrival).is_none();
-        let rank = if category.cacheable { self.ids.sight(now, &arrival, category.fresh) } else { 0 };
+        let shared = self.chance.f64() < self.shared;
+        let rank = if category.cacheable { self.ids.sight(now, &arrival, category.fresh, shared) } else { 0 };
         let work = Duration::from_secs_f64((arrival.kb / self.kb_per_s).clamp(0.0, 1e6));
         let (mean, of) = &mut self.mean_work[arrival.category];
         *of = (*of + 1.0).min(256.0);
@@ -377,12 +366,8 @@
     /// A purge is remembered until no older copy can be left anywhere.
     pub fn purged(&mut self, now: Duration, object: Option<Id>, group: u64, ago: Duration) {
         let (at, left) = (now.saturating_sub(ago), self.purge_done + self.margin);
-        self.purged_objects.retain(|_, purge| now < *purge + left);
-        self.purged_groups.retain(|_, purge| now < *purge + left);
-        let latest = match object {
-            Some(object) => self.purged_objects.entry(object).or_insert(at),
-            None => self.purged_groups.entry(group).or_insert(at),
-        };
+        self.purges.retain(|_, purge| now < *purge + left);
+        let latest = self.purges.entry(object.ok_or(group)).or_insert(at);
         *latest = at.max(*latest);
     }
 
@@ -569,8 +554,8 @@
     }
 
     fn last_purge(&self, access: &Access) -> Option<Duration> {
-        let group = self.purged_groups.get(&access.arrival.group);
-        group.max(self.purged_objects.get(&access.arrival.object)).copied()
+        let object = self.purges.get(&Ok(access.arrival.object.clone()));
+        object.max(self.purges.get(&Err(access.arrival.group))).copied()
     }
 
     /// Rule 5: the oldest copy that will do, counted from the purge, and never zero: that would mean any age.
@@ -659,11 +644,8 @@
                 server.judge(turn.now, true, 1.0);
                 if filling && server.aside.is_none() {
                     let (id, route, wait) = (id.clone(), route.clone(), turn.now - sent);
-                    return self.after(
-                        turn,
-                        wait,
-                        Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)),
-                    );
+                    let again: Then = Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent));
+                    return self.after(turn, wait, again);
                 }
                 access.failed.push(name.clone());
                 self.patience *= PATIENCE_GROWS;
@@ -689,7 +671,7 @@
             _ => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
-        // Only the cache itself can make a hit slow: one that ages answers, later and later, until it dies.
+        // Only the cache itself makes a hit slow: one that ages answers, later and later, until it dies.
         let late_hit = hit && ended.took > (OVERHEAD + work).mul_f64(SLOW_HIT);
         if !failed {
             self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
@@ -700,16 +682,12 @@
             server.kb_under_way = (server.kb_under_way - kb).max(0.0);
             server.out = server.out.saturating_sub(1);
 
-            let first = *name == route.server;
-            if !silent && (first || !failed && !hit) {
+            if !silent && (*name == route.server || !failed && !hit) {
                 server.heard = now;
             }
             if weight > 0.0 {
-                server.judge(
-                    now,
-                    failed || late_hit || server.member.tier == Tier::Origin && now > soft,
-                    weight,
-                );
+                let late = late_hit || server.member.tier == Tier::Origin && now > soft;
+                server.judge(now, failed || late, weight);
             }
         }
         // Behind a parent the origin is judged by how long it kept a fill waiting.
@@ -719,7 +697,7 @@
             origins.for_each(|origin| origin.judge(now, failed || slow, 1.0));
         }
         if !failed && access.first {
-            self.ids.shared += (f64::from(u8::from(hit)) - self.ids.shared) / SHARED_OVER;
+            self.shared += (f64::from(u8::from(hit)) - self.shared) / SHARED_OVER;
         }
         if !failed && let Some(seen) = self.ids.known(&access.arrival) {
             seen.held = (hit || rank > 0).then(|| (route.server.clone(), now));
