--- a/src/control.rs
+++ b/src/control.rs
@@ -3,38 +3,35 @@
 //! How to call it: `Router::start` once, then one method for each thing that happens (`list`, `access`,
 //! `result`, `begun`, `left`, `purged`, `wake`), each with the time since the start and the outlet through
 //! which the router acts. The types of these calls and the outlet are in `interface.rs`.
-//!
 //! Every execution passes `Router::send`, where the rules are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
 use lru::LruCache;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::{num::NonZeroUsize, time::Duration};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-/// The id list's bound, and how many sightings are needed before the gate and the ranks act (design
-/// page); how many scores and sightings count as recent.
+/// The id list's bound; the sightings that gate and ranks need first; how many are recent (design page).
 const ID_LIST: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
 const SIGHTINGS_BEFORE_GATE: usize = 64;
 const SCORES_BEFORE_RANKS: usize = 256;
 const RECENT: usize = 1024;
-const SHARED_OVER: f64 = 32.0;
 /// A member holding over this multiple of the average bytes under way is passed over (design page).
 const CROWDED: f64 = 2.0;
-/// Sequential test: chance of a failure at a sound and at a broken server, and the odds that decide.
-const SOUND_FAILS: f64 = 0.05;
-const BROKEN_FAILS: f64 = 0.5;
-const DECIDING_ODDS: f64 = 100.0;
+/// Sequential test of failing in half of all cases against one in twenty: what a failure and a success add to
+/// the log odds that a server is broken, and where they decide (100 to 1).
+const FAILURE_ADDS: f64 = std::f64::consts::LN_10;
+const SUCCESS_ADDS: f64 = -0.642;
+const BROKEN_AT: f64 = 4.605;
 /// A server set aside gets one execution in this time; halved by each success, doubled by each failure.
 const TRICKLE_FIRST: Duration = Duration::from_millis(1000);
 const TRICKLE_SLOWEST: Duration = Duration::from_millis(4000);
 const TRICKLE_FULL: Duration = Duration::from_millis(50);
-/// Share of a cold server's budget that the routers together use; less where capacities are not exact.
-const COLD_MARGIN: f64 = 0.6;
-const COLD_MARGIN_ROUGH: f64 = 0.45;
+/// Share of a cold server's budget that the routers together use: capacities may be told roughly.
+const COLD_MARGIN: f64 = 0.45;
 
-/// What an answer takes beside its sending time, and the least multiple of both after which it is looked into;
-/// called off and honoured ones move it, so that one in twenty is called off where all is slow, none silent.
+/// What an answer takes beside its sending time, and the least multiple of both after which it is looked
+/// into: called off and honoured ones move it, so that one in twenty is called off where all is slow.
 const OVERHEAD: Duration = Duration::from_millis(100);
 const PATIENCE: f64 = 3.0;
 const PATIENCE_GROWS: f64 = 1.2;
@@ -60,8 +57,6 @@
     out: &'a mut dyn Outlet,
 }
 
-// ---- The id list: sightings, admission and ranks ----
-
 #[derive(Default)]
 struct Recent {
     arrived: VecDeque<f64>,
@@ -78,7 +73,6 @@
         self.sorted.insert(self.sorted.partition_point(|v| *v < value), value);
     }
 
-    /// The value that this share of them lies below.
     fn quantile(&self, share: f64) -> f64 {
         self.sorted.get((self.sorted.len() as f64 * share) as usize).copied().unwrap_or(0.0)
     }
@@ -132,8 +126,8 @@
         let refresh = fresh.map_or(0.0, |fresh| (since / fresh.as_secs_f64()).min(1.0));
         let value = seen.cost.unwrap_or(1.0) * (1.0 - refresh) / (count - seen.count) as f64;
         let score = if value > 0.0 { arrival.kb / value } else { f64::INFINITY };
-        let few = self.values.sorted.len() < SIGHTINGS_BEFORE_GATE;
-        let admitted = few || value >= self.values.quantile(0.25);
+        let admitted =
+            self.values.sorted.len() < SIGHTINGS_BEFORE_GATE || value >= self.values.quantile(0.25);
         let rank = match self.scores.sorted.len() {
             n if n < SCORES_BEFORE_RANKS => 2,
             _ if score < self.scores.quantile(1.0 / 3.0) => 3,
@@ -142,7 +136,7 @@
         };
         self.values.note(value);
         self.scores.note(score);
-        // What expires before it is asked for again is not admitted; a kept copy of it drops to the bottom.
+        // What expires before its next sighting is not admitted; a kept copy of it drops to the bottom.
         let rank = if refresh >= 1.0 { u8::from(seen.rank > 0) } else { rank * u8::from(admitted) };
         (seen.rank, seen.count, seen.at) = (rank, count, now);
         rank
@@ -175,11 +169,10 @@
 
     /// One step of the sequential test; `weight` is how much of the outcome is laid to this server.
     fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
-        let odds = |broken: f64, sound: f64| (broken / sound).ln();
-        let (fail, pass) = (odds(BROKEN_FAILS, SOUND_FAILS), odds(1.0 - BROKEN_FAILS, 1.0 - SOUND_FAILS));
-        self.doubt = (self.doubt + weight * if failed { fail } else { pass }).clamp(0.0, DECIDING_ODDS.ln());
+        let adds = if failed { FAILURE_ADDS } else { SUCCESS_ADDS };
+        self.doubt = (self.doubt + weight * adds).clamp(0.0, BROKEN_AT);
         let spacing = match self.aside {
-            None if self.doubt < DECIDING_ODDS.ln() => return,
+            None if self.doubt < BROKEN_AT => return,
             None => TRICKLE_FIRST,
             Some((_, spacing)) if failed => (spacing * 2).min(TRICKLE_SLOWEST),
             Some((_, spacing)) => spacing / 2,
@@ -191,7 +184,6 @@
 
 struct Execution {
     next: Option<Next>,
-    /// It counts among the fills under way.
     filling: bool,
 }
 
@@ -232,7 +224,6 @@
     cold: [(ColdStart, f64); 2],
     routers_here: f64,
     most_executions: usize,
-    second_copies: bool,
     may_cancel: bool,
     advice: Option<Duration>,
     purge_done: Duration,
@@ -263,8 +254,6 @@
 impl Router {
     pub fn start(now: Duration, told: &Deployment, out: &mut dyn Outlet) -> Router {
         let routers_here = told.routers_at.get(told.location).copied().unwrap_or(told.routers).max(1) as f64;
-        let margin = if told.hints == Hints::Nominal { COLD_MARGIN } else { COLD_MARGIN_ROUGH };
-        let routers = told.routers.max(1) as f64;
         if told.list_on_request {
             out.watch_list();
         }
@@ -274,10 +263,10 @@
             margin: told.tick * 2,
             kb_per_s: if told.client_kb_per_s > 0.0 { told.client_kb_per_s } else { f64::INFINITY },
 
-            cold: [(told.cold_cache, margin / routers_here), (told.cold_parent, margin / routers)],
+            cold: [(told.cold_cache, routers_here), (told.cold_parent, told.routers.max(1) as f64)]
+                .map(|(cold, sharing)| (cold, COLD_MARGIN / sharing)),
             routers_here,
             most_executions: told.max_executions.max(1),
-            second_copies: told.second_copies,
             may_cancel: told.may_cancel,
             advice: told.longest_advice.map(|longest| longest.min(ADVICE)),
             purge_done: told.purge_done,
@@ -300,7 +289,6 @@
             return self.after(turn, LIST_AGAIN, Box::new(|_, turn| turn.out.watch_list()));
         }
         if kind != ListKind::Changes {
-            // What a whole list leaves out is gone.
             self.servers.values_mut().for_each(|s| s.member.standing = Standing::Gone);
         }
         for member in members {
@@ -372,9 +360,8 @@
     }
 
     pub fn wake(&mut self, now: Duration, mark: u64, out: &mut dyn Outlet) {
-        if let Some(then) = self.thens.remove(&mark) {
-            then(self, &mut Turn { now, out });
-        }
+        let Some(then) = self.thens.remove(&mark) else { return };
+        then(self, &mut Turn { now, out });
     }
 
     fn after(&mut self, turn: &mut Turn, wait: Duration, then: Then) {
@@ -383,8 +370,6 @@
         turn.out.wake_at(turn.now + wait, self.last_mark);
     }
 
-    // ---- Now, later or not at all ----
-
     /// The next execution of an access, or a wait, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
         let route = self.route(turn.now, id);
@@ -408,8 +393,8 @@
         kept && route.source != route.server && !held
     }
 
-    /// More fills than the links and sources end in time make every one of them late, and what times out
-    /// has used them for nothing. So a fill too many waits, as long as it could still be in time after.
+    /// More fills than links and sources end in time make all of them late, and what times out has used them
+    /// for nothing. So a fill too many waits, as long as it could still be in time after.
     fn hold(&mut self, turn: &mut Turn, id: &Id) {
         let Some(access) = self.accesses.get_mut(id) else { return };
         let latest = access.soft.min(access.due).saturating_sub(OVERHEAD + access.work);
@@ -419,8 +404,7 @@
         self.waiting.push(id.clone());
         let id = id.clone();
         let too_late: Then = Box::new(move |router, turn| {
-            if let Some(place) = router.waiting.iter().position(|waits| *waits == id) {
-                router.waiting.remove(place);
+            if router.waiting.contains(&id) {
                 router.end(turn, &id);
             }
         });
@@ -451,15 +435,12 @@
         }
     }
 
-    // ---- Where to ----
-
-    /// The first that the hash prefers, moving on when one fails, is full or holds over twice the average.
-    /// Each member draws its own number for an object, so that one that fails moves only its own objects, and
-    /// all routers agree on the order. `any`: also one that is set aside.
+    /// The first that the hash prefers, moving on when one fails, is full or is crowded; `any`: also one set
+    /// aside. Each member draws its own number for an object: one that fails moves its own objects only.
     fn pick(&self, now: Duration, tier: Tier, any: bool, access: &Access) -> Option<&Server> {
         let draw = |s: &Server| {
-            let seed = xxh3_64_with_seed(s.member.server.as_bytes(), 0);
-            let hash = xxh3_64_with_seed(access.arrival.object.as_bytes(), seed);
+            let hash =
+                xxh3_64_with_seed(access.arrival.object.as_bytes(), xxh3_64(s.member.server.as_bytes()));
             -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
         };
         let near =
@@ -469,9 +450,9 @@
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
         let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
         let crowded = |s: &Server| s.out > 1 && s.kb_under_way > CROWDED * average;
-        let left = || open.iter().map(|(_, s)| *s).filter(|s| !access.failed.contains(&s.member.server));
-        let sound = || left().filter(|s| any || s.sound(now));
-        sound().find(|s| !crowded(s)).or(sound().next())
+        let fit = |s: &&Server| !access.failed.contains(&s.member.server) && (any || s.sound(now));
+        let mut left = open.iter().map(|(_, s)| *s).filter(fit);
+        left.clone().find(|s| !crowded(s)).or(left.next())
     }
 
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
@@ -479,8 +460,7 @@
         let name = |s: &Server| s.member.server.clone();
         let straight = |s: &Server| Route { server: name(s), source: name(s) };
         let pick = |tier, any| self.pick(now, tier, any, access);
-        // The origin is for when no parent is sound; where it is not either, the trouble lies there, and
-        // the parents still have what they hold.
+        // Where no parent is sound, nor the origin, the trouble is the origin's: parents have what they hold.
         let source = || {
             let sound = pick(Tier::Parent, false).or_else(|| pick(Tier::Origin, false));
             sound.or_else(|| pick(Tier::Parent, true)).or_else(|| pick(Tier::Origin, true))
@@ -494,8 +474,7 @@
             return Some(straight(origin));
         }
         match pick(Tier::Cache, false).or_else(|| pick(Tier::Cache, true)) {
-            // With no source left the cache itself is named: a plain send would bear no age, and could be
-            // answered from a copy older than a purge.
+            // With no source left the cache itself is named: a plain send could bring a copy purged since.
             Some(cache) => {
                 let source = source().unwrap_or(cache);
                 Some(Route { server: name(cache), source: name(source) })
@@ -505,11 +484,8 @@
         }
     }
 
-    // ---- The gate ----
-
-    /// Rules 3 and 4, for a server as such or as a source: nothing new once told that it drains or is gone;
-    /// and while it is cold, no more in any span than this router's own share of what it bears, so that
-    /// all routers together, each alone with its share, cannot push it over.
+    /// Rules 3 and 4, for a server or a source: nothing new once told that it drains or is gone; while it is
+    /// cold, no more in any span than this router's share of what it bears, lest all together push it over.
     fn may_take(&self, now: Duration, server: &Server, access: &Access) -> bool {
         if server.member.standing != Standing::Active {
             return false;
@@ -575,11 +551,10 @@
         let Some(server) = self.servers.get(&route.server) else { return false };
         let source = self.servers.get(&route.source).unwrap_or(server);
         let category = &self.categories[access.arrival.category];
-        let idempotent = category.effect == Effect::Idempotent;
         let lawful = !access.ended
             && now < access.due
             && access.executions.len() < self.most_executions
-            && (access.open == 0 || idempotent && self.second_copies)
+            && access.open == 0
             && self.may_repeat(now, access, Some(server))
             && self.may_take(now, server, access)
             && self.may_take(now, source, access);
@@ -597,7 +572,7 @@
             parent_keeps: true,
             renew: false,
         };
-        let watched = idempotent && self.may_cancel && !category.streamed;
+        let watched = category.effect == Effect::Idempotent && self.may_cancel && !category.streamed;
         let (kb, limit, wait) =
             (access.arrival.kb, access.due - now, (OVERHEAD + access.work).mul_f64(self.patience));
         let weights = [server, source].map(|s| self.weight(s, access));
@@ -616,7 +591,7 @@
         let Some(access) = self.accesses.get_mut(id) else { return false };
         access.open += 1;
         let n = access.executions.len();
-        let (looked, id) = ((id.clone(), route.clone()), id.clone());
+        let (id, looked) = (id.clone(), (id.clone(), route.clone()));
         let next: Next = Box::new(move |router, turn, ended| router.follow(turn, &id, n, &route, now, ended));
         access.executions.push(Execution { next: Some(next), filling });
         if watched {
@@ -626,19 +601,15 @@
         true
     }
 
-    // ---- What follows ----
-
-    /// A time has passed in which most executions have ended. One whose server has answered others meanwhile
-    /// is slow and is waited for: to start it again would double the load. A server, or a source, of which
-    /// nothing was heard since is silent: it is judged, and the access moves on.
+    /// Most executions have ended in this time. One whose server has answered others meanwhile is slow and is
+    /// waited for: to start it again would double the load. A server or source of which nothing was heard
+    /// since is judged as silent, and the access moves on; an overdue fill alone does not convict it.
     fn look_into(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
         // A copy would have been sent by now: it is being filled after all.
         let filling = std::mem::replace(&mut execution.filling, true);
-        if !filling {
-            self.fills_out += 1.0;
-        }
+        self.fills_out += f64::from(u8::from(!filling));
         for name in route.ends() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
                 server.judge(turn.now, true, 1.0);
@@ -660,8 +631,7 @@
         let Some(access) = self.accesses.get(id) else { return };
         let (kb, rank, soft, work) = (access.arrival.kb, access.rank, access.soft, access.work);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
-        // How much is laid to the server and to the source: a slow fill may be due to either end, a broken
-        // connection to the network.
+        // What is laid to server and source: a slow fill may be due to either, a broken connection to none.
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
             (Honoured, _) => (1.0, if hit { 0.0 } else { 1.0 }),
             (Broken, _) => (0.5, 0.0),
@@ -673,9 +643,6 @@
         let failed = ended.outcome != Honoured;
         // Only the cache itself makes a hit slow: one that ages answers, later and later, until it dies.
         let late_hit = hit && ended.took > (OVERHEAD + work).mul_f64(SLOW_HIT);
-        if !failed {
-            self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
-        }
         let silent = matches!(ended.outcome, Unreachable | Broken | TimedOut | Cancelled | NeverSent);
         for (name, weight) in route.ends().zip([at_server, at_source]) {
             let Some(server) = self.servers.get_mut(name) else { continue };
@@ -696,10 +663,14 @@
             let origins = self.servers.values_mut().filter(|s| s.member.tier == Tier::Origin);
             origins.for_each(|origin| origin.judge(now, failed || slow, 1.0));
         }
-        if !failed && access.first {
-            self.shared += (f64::from(u8::from(hit)) - self.shared) / SHARED_OVER;
+        if failed {
+            return;
+        }
+        self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
+        if access.first {
+            self.shared += (f64::from(u8::from(hit)) - self.shared) / SIGHTINGS_BEFORE_GATE as f64;
         }
-        if !failed && let Some(seen) = self.ids.known(&access.arrival) {
+        if let Some(seen) = self.ids.known(&access.arrival) {
             seen.held = (hit || rank > 0).then(|| (route.server.clone(), now));
             seen.cost = ended.first_byte.map(|wait| (wait.as_secs_f64() * 1e3).max(1.0)).or(seen.cost);
         }
@@ -715,26 +686,21 @@
         if filling {
             // One whose server or source is dead says nothing of how many the links bear.
             let dead =
-                ended.remark == Remark::SourceUnreached || matches!(ended.outcome, Cancelled | Missing);
+                matches!(ended.outcome, Cancelled | Missing) || ended.remark == Remark::SourceUnreached;
             self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         let Some(access) = self.accesses.get_mut(id) else { return };
         if matches!(ended.outcome, Error | TimedOut | Broken | Cancelled) && access.ran.is_none() {
             access.ran = Some((sent, route.server.clone()));
         }
-        if access.ended {
-            return;
-        }
-        if ended.outcome == Missing {
+        if access.ended || ended.outcome == Missing {
             return self.end(turn, id);
         }
         // Where the source alone failed the cache is asked again, with another.
         let source_failed = !matches!(ended.remark, Remark::None | Remark::NoFillPlace | Remark::Joined);
-        let either = ended.outcome == Full && ended.remark == Remark::None;
-        let blamed = route.ends().skip(usize::from(source_failed)).take(1 + usize::from(either));
-        if ended.outcome != Cancelled {
-            access.failed.extend(blamed.cloned());
-        }
+        let either = usize::from(ended.outcome == Full && ended.remark == Remark::None);
+        let blamed = route.ends().skip(usize::from(source_failed)).take(1 + either);
+        access.failed.extend(blamed.filter(|_| ended.outcome != Cancelled).cloned());
         self.advance(turn, id);
     }
 
