A parent is judged by how often its fills are late beside the best parent's

On hc53bac two of three parents aged: their fills were late by 12 to 58 %, the third's by none, while the time to the first byte told nothing. Every late fill cut the limit of fills, and a third of all accesses was declined at routers whose links were idle. Now a late fill is a failure of its parent, weighed by how seldom the best parent's fills are late: where all are late alike (a full link) it weighs nothing. It should catch any parent that is slow or crowded for whatever cause; it hurts where one parent is nearer by so much that the others' fills are late by distance.

--- a/src/control.rs
+++ b/src/control.rs
@@ -158,6 +158,8 @@
     /// Log odds that it is broken; set aside: when its next execution is due, and how far apart they are.
     doubt: f64,
     aside: Option<(Duration, Duration)>,
+    /// Share of the fills from it that were in time, lately.
+    in_time: f64,
     /// When it last showed that it is there.
     heard: Duration,
 }
@@ -626,10 +628,10 @@
     }
 
     /// What the end of an execution says of its server and its source.
-    fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, ended: &Ended) {
+    fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, late: bool, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
-        let (kb, rank, soft, work) = (access.arrival.kb, access.rank, access.soft, access.work);
+        let (kb, rank, work) = (access.arrival.kb, access.rank, access.work);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
         // What is laid to server and source: a slow fill may be due to either, a broken connection to none.
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
@@ -643,6 +645,8 @@
         let failed = ended.outcome != Honoured;
         // Only the cache itself makes a hit slow: one that ages answers, later and later, until it dies.
         let late_hit = hit && ended.took > (OVERHEAD + work).mul_f64(SLOW_HIT);
+        let parents = self.servers.values().filter(|s| s.member.tier == Tier::Parent);
+        let usual = 1.0 - parents.map(|s| s.in_time).fold(0.0, f64::max);
         let silent = matches!(ended.outcome, Unreachable | Broken | TimedOut | Cancelled | NeverSent);
         for (name, weight) in route.ends().zip([at_server, at_source]) {
             let Some(server) = self.servers.get_mut(name) else { continue };
@@ -653,7 +657,13 @@
                 server.heard = now;
             }
             if weight > 0.0 {
-                let late = late_hit || server.member.tier == Tier::Origin && now > soft;
+                let source = !failed && !hit && *name == route.source;
+                if source {
+                    server.in_time += (f64::from(u8::from(!late)) - server.in_time) / 16.0;
+                }
+                let relative = source && server.member.tier == Tier::Parent;
+                let weight = if relative { weight * (0.5 / usual).log10().clamp(0.0, 1.0) } else { weight };
+                let late = late_hit || late && server.member.tier == Tier::Origin || late && relative;
                 server.judge(now, failed || late, weight);
             }
         }
@@ -682,7 +692,7 @@
         let Some(access) = self.accesses.get(id) else { return };
         let filling = access.executions[n].filling;
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
-        self.learn(turn.now, id, route, filling, ended);
+        self.learn(turn.now, id, route, filling, turn.now > soft, ended);
         if filling {
             // One whose server or source is dead says nothing of how many the links bear.
             let dead =
