--- a/src/control.rs
+++ b/src/control.rs
@@ -633,9 +633,12 @@
         let Some(access) = self.accesses.get(id) else { return };
         let (kb, rank, work) = (access.arrival.kb, access.rank, access.work);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
-        // What is laid to server and source: a slow fill may be due to either, a broken connection to none.
+        // A late fill is laid to its source by how seldom the best parent's are late: a full link delays all.
+        let parents = self.servers.values().filter(|s| s.member.tier == Tier::Parent);
+        let usual = 1.0 - parents.map(|s| s.in_time).fold(0.0, f64::max);
+        let telling = (0.5 / usual).log10().clamp(0.0, 1.0);
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
-            (Honoured, _) => (1.0, if hit { 0.0 } else { 1.0 }),
+            (Honoured, _) => (1.0, if hit { 0.0 } else { telling }),
             (Broken, _) => (0.5, 0.0),
             (_, Remark::SourceUnreached) => (0.0, 1.0),
             (Error | TimedOut, Remark::None) if filling => (0.5, 0.5),
@@ -643,27 +646,23 @@
             _ => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
+        let filled = !failed && !hit;
         // Only the cache itself makes a hit slow: one that ages answers, later and later, until it dies.
         let late_hit = hit && ended.took > (OVERHEAD + work).mul_f64(SLOW_HIT);
-        let parents = self.servers.values().filter(|s| s.member.tier == Tier::Parent);
-        let usual = 1.0 - parents.map(|s| s.in_time).fold(0.0, f64::max);
         let silent = matches!(ended.outcome, Unreachable | Broken | TimedOut | Cancelled | NeverSent);
         for (name, weight) in route.ends().zip([at_server, at_source]) {
             let Some(server) = self.servers.get_mut(name) else { continue };
             server.kb_under_way = (server.kb_under_way - kb).max(0.0);
             server.out = server.out.saturating_sub(1);
 
-            if !silent && (*name == route.server || !failed && !hit) {
+            if !silent && (*name == route.server || filled) {
                 server.heard = now;
             }
+            if filled {
+                server.in_time += (f64::from(u8::from(!late)) - server.in_time) / 16.0;
+            }
             if weight > 0.0 {
-                let source = !failed && !hit && *name == route.source;
-                if source {
-                    server.in_time += (f64::from(u8::from(!late)) - server.in_time) / 16.0;
-                }
-                let relative = source && server.member.tier == Tier::Parent;
-                let weight = if relative { weight * (0.5 / usual).log10().clamp(0.0, 1.0) } else { weight };
-                let late = late_hit || late && server.member.tier == Tier::Origin || late && relative;
+                let late = late_hit || late && server.member.tier != Tier::Cache;
                 server.judge(now, failed || late, weight);
             }
         }
