--- a/src/control.rs
+++ b/src/control.rs
@@ -92,7 +92,6 @@
     held: Option<(Id, Duration)>,
 }
 
-/// The recency-ordered list of ids, and what a sighting is judged against.
 struct IdList {
     seen: LruCache<(Id, u64), Seen>,
     accesses: u64,
@@ -160,7 +159,6 @@
     aside: Option<(Duration, Duration)>,
     /// Share of the fills from it that were in time, lately.
     in_time: f64,
-    /// When it last showed that it is there.
     heard: Duration,
 }
 
@@ -171,8 +169,8 @@
 
     /// One step of the sequential test; `weight` is how much of the outcome is laid to this server.
     fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
-        let adds = if failed { FAILURE_ADDS } else { SUCCESS_ADDS };
-        self.doubt = (self.doubt + weight * adds).clamp(0.0, BROKEN_AT);
+        self.doubt =
+            (self.doubt + weight * if failed { FAILURE_ADDS } else { SUCCESS_ADDS }).clamp(0.0, BROKEN_AT);
         let spacing = match self.aside {
             None if self.doubt < BROKEN_AT => return,
             None => TRICKLE_FIRST,
@@ -241,7 +239,6 @@
     accesses: HashMap<Id, Access>,
     thens: HashMap<u64, Then>,
     last_mark: u64,
-    /// Purges by object and by group, while older copies may be left.
     purges: HashMap<Result<Id, u64>, Duration>,
     /// By category: mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
@@ -348,9 +345,7 @@
         access.ended |= ended.over;
         let turn = &mut Turn { now, out };
         next(self, turn, ended);
-        if self.accesses.get(id).is_some_and(|a| a.ended) {
-            self.close(turn, id);
-        }
+        self.close(turn, id);
     }
 
     /// A purge is remembered until no older copy can be left anywhere.
@@ -372,7 +367,6 @@
         turn.out.wake_at(turn.now + wait, self.last_mark);
     }
 
-    /// The next execution of an access, or a wait, or its end.
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
         let route = self.route(turn.now, id);
         if self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
@@ -387,12 +381,10 @@
     /// The cache is not known to hold it, or it was purged since: it would take a fill through the link.
     fn likely_fill(&mut self, id: &Id, route: &Route) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
-        let kept = self.categories[access.arrival.category].cacheable;
-
         let purged = self.last_purge(access);
         let held = self.ids.known(&access.arrival).and_then(|seen| seen.held.as_ref());
         let held = held.is_some_and(|(at, when)| *at == route.server && purged.is_none_or(|p| p < *when));
-        kept && route.source != route.server && !held
+        self.categories[access.arrival.category].cacheable && route.source != route.server && !held
     }
 
     /// More fills than links and sources end in time make all of them late, and what times out has used them
@@ -627,7 +619,6 @@
         }
     }
 
-    /// What the end of an execution says of its server and its source.
     fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, late: bool, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
@@ -685,7 +676,6 @@
         }
     }
 
-    /// What an access does next when one of its executions has ended.
     fn follow(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
@@ -728,9 +718,9 @@
         self.close(turn, id);
     }
 
-    /// An access is over: what is still out for it is called off, and it is forgotten once all has come back.
+    /// Once an access is over what is still out for it is called off, and it is forgotten when all is back.
     fn close(&mut self, turn: &mut Turn, id: &Id) {
-        let Some(access) = self.accesses.get(id) else { return };
+        let Some(access) = self.accesses.get(id).filter(|a| a.ended) else { return };
         let out = access.executions.iter().enumerate().filter(|(_, e)| e.next.is_some() && self.may_cancel);
         out.for_each(|(n, _)| turn.out.cancel(id, n));
         if access.open == 0 {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,7 +7,8 @@
 //!   whole SERVER..                the whole list
 //!   access ID [category=0 object=ID part=0 group=0 kb=100 left=4000 repeated=0]
 //!   accesses COUNT ID [..]        many at once: ID0, ID1.., each for an object of its own unless named
-//!   result ID N OUTCOME [REMARK] [over] [waited=MS] [took=MS]     left ID      begun ID      purge [object=X group=0 ago=0]
+//!   result ID N OUTCOME [REMARK] [over] [waited=MS] [took=MS]      results COUNT ID N ..  for ID0, ID1..
+//!   left ID      begun ID      purge [object=X group=0 ago=0]
 //! What must follow, among the actions since the start or the last `clear`:
 //!   expect PATTERN                one that matches, after those expected before; `*` is any word or the
 //!                                 rest, $X binds a word at first and stands for it afterwards
@@ -236,7 +237,10 @@
                     router.access(now, arrival, &mut record);
                 }
             }
-            "result" => {
+            "result" | "results" => {
+                let many = *verb == "results";
+                let count = if many { rest[0].parse().expect("a count") } else { 1 };
+                let rest = &rest[usize::from(many)..];
                 let remark = match *rest.get(3).unwrap_or(&"") {
                     "hit" => Remark::Hit,
                     "filled" => Remark::Filled,
@@ -248,7 +252,11 @@
                 let first_byte = Some(field("waited", 0)).filter(|w| *w > 0).map(ms);
                 let (load, took) = (Load::default(), ms(field("took", 10)));
                 let ended = Ended { outcome: outcome(rest[2]), remark, took, first_byte, over, load };
-                router.result(now, &rest[0].into(), rest[1].parse().expect("a number"), &ended, &mut record);
+                for n in 0..count {
+                    let id = if many { format!("{}{n}", rest[0]) } else { rest[0].to_owned() };
+                    let execution = rest[1].parse().expect("a number");
+                    router.result(now, &id.as_str().into(), execution, &ended, &mut record);
+                }
             }
             "left" => router.left(now, &rest[0].into(), &mut record),
             "begun" => router.begun(&rest[0].into()),
