A broken connection cuts no limit of fills: it says nothing of the links

It should help wherever the network drops connections; it may hurt where servers reset what they cannot bear, in place of refusing it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -683,9 +683,9 @@
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
         self.learn(turn.now, id, route, filling, turn.now > soft, ended);
         if filling {
-            // One whose server or source is dead says nothing of how many the links bear.
-            let dead =
-                matches!(ended.outcome, Cancelled | Missing) || ended.remark == Remark::SourceUnreached;
+            // A dead server or source, or a broken connection, says nothing of how many the links bear.
+            let dead = matches!(ended.outcome, Cancelled | Missing | Broken)
+                || ended.remark == Remark::SourceUnreached;
             self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         let Some(access) = self.accesses.get_mut(id) else { return };
