--- a/crates/wirehost/src/start.rs
+++ b/crates/deployment/src/lib.rs
@@ -1,10 +1,57 @@
-//! Reads the settings of a `Boot` into what a router is told at its start. Unknown keys are skipped.
+//! Reads the settings of a deployment, as JSON, into what a router is told at its start. Unknown keys are skipped.
 
-use crate::wire::{Fields, flag, number, span, text, whole};
 use chalkhall::interface::{
     Category, ColdStart, Customer, Deployment, Effect, Group, Hints, Siblings, Telling,
 };
-use serde_json::Value;
+use serde_json::{Map, Value};
+use std::time::Duration;
+
+pub type Fields = Map<String, Value>;
+
+/// Milliseconds on the wire, spans inside.
+pub fn span(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
+}
+
+pub fn ms(span: Duration) -> f64 {
+    span.as_nanos() as f64 / 1e6
+}
+
+/// Any figure of a deployment is far below this; spans made of greater ones could not be added up.
+const GREATEST: f64 = 1e12;
+
+pub fn number(fields: &Fields, name: &str) -> Result<f64, String> {
+    match fields.get(name).map(Value::as_f64) {
+        _ if fields.get(name).is_none_or(Value::is_null) => Ok(0.0),
+        Some(Some(v)) if v.abs() <= GREATEST => Ok(v),
+        Some(Some(v)) => Err(format!("{name} is out of range: {v}")),
+        _ => Err(format!("{name} is not a number")),
+    }
+}
+
+pub fn whole(fields: &Fields, name: &str) -> Result<u64, String> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(0),
+        Some(v) => v
+            .as_u64()
+            .or_else(|| v.as_f64().filter(|f| *f >= 0.0 && f.fract() == 0.0).map(|f| f as u64))
+            .ok_or_else(|| format!("{name} is not a whole number")),
+    }
+}
+
+pub fn flag(fields: &Fields, name: &str) -> Result<bool, String> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(false),
+        Some(v) => v.as_bool().ok_or_else(|| format!("{name} is not true or false")),
+    }
+}
+
+pub fn text<'a>(fields: &'a Fields, name: &str) -> Result<&'a str, String> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(""),
+        Some(v) => v.as_str().ok_or_else(|| format!("{name} is not a text")),
+    }
+}
 
 fn part(options: &Fields, name: &str) -> Result<Fields, String> {
     match options.get(name) {
@@ -24,12 +71,15 @@
 
 fn numbers(options: &Fields, name: &str) -> Result<Vec<f64>, String> {
     let wrong = || format!("{name} holds something that is not a number");
-    list(options, name)?.iter().map(|v| v.as_f64().ok_or_else(wrong)).collect()
+    list(options, name)?.iter().map(|v| v.as_f64().ok_or_else(wrong)).collect::<Result<_, String>>()
 }
 
 fn objects(options: &Fields, name: &str) -> Result<Vec<Fields>, String> {
     let wrong = || format!("{name} holds something that is not an object");
-    list(options, name)?.iter().map(|v| v.as_object().cloned().ok_or_else(wrong)).collect()
+    list(options, name)?
+        .iter()
+        .map(|v| v.as_object().cloned().ok_or_else(wrong))
+        .collect::<Result<_, String>>()
 }
 
 /// The kinds that are parents and origin, where there are such.
@@ -147,3 +197,28 @@
         ask_within: span_of(&rules, "AskWithin")?,
     })
 }
+
+/// The names by which a deployment calls its locations, kinds of machine and categories, in their order.
+#[derive(Clone, Debug, Default)]
+pub struct Names {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub categories: Vec<String>,
+}
+
+pub fn names(options: &Fields) -> Result<Names, String> {
+    let texts = |name: &str| {
+        let wrong = || format!("{name} holds something that is not a text");
+        list(options, name)?
+            .iter()
+            .map(|v| v.as_str().map(str::to_owned).ok_or_else(wrong))
+            .collect::<Result<_, String>>()
+    };
+    let categories = objects(options, "Classes")?;
+    let categories = categories.iter().map(|class| text(class, "Name").map(str::to_owned));
+    Ok(Names {
+        zones: texts("Zones")?,
+        kinds: texts("Kinds")?,
+        categories: categories.collect::<Result<_, _>>()?,
+    })
+}
--- /dev/null
+++ b/crates/router/src/board.rs
@@ -0,0 +1,89 @@
+//! Follows the notice board: events in order, none twice, none left out.
+
+use crate::clock::Clock;
+use crate::decider::Message;
+use crate::notices::{Places, numbered};
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{sleep, timeout};
+
+/// The board says its last number each second: after this long without it the connection is dead.
+const SILENCE: Duration = Duration::from_millis(2500);
+const CONNECT: Duration = Duration::from_millis(500);
+/// Between tries to connect anew; doubled from the first to the second.
+const PAUSE: Duration = Duration::from_millis(20);
+const PAUSE_MOST: Duration = Duration::from_millis(320);
+/// A list of all servers fits well into this.
+const LINE_MOST: u64 = 1 << 20;
+
+pub struct Board {
+    pub address: SocketAddr,
+    pub last: u64,
+    pub places: Places,
+    pub clock: Clock,
+    pub decider: mpsc::Sender<Message>,
+}
+
+impl Board {
+    pub async fn run(mut self) {
+        let mut pause = PAUSE;
+        while !self.decider.is_closed() {
+            let before = self.last;
+            let what = self.follow(&mut pause).await.err().unwrap_or_default();
+            log::info!("notice board: {what}; watching anew from {}", self.last);
+            if self.last > before {
+                pause = PAUSE;
+            }
+            sleep(pause).await;
+            pause = (pause * 2).min(PAUSE_MOST);
+        }
+    }
+
+    async fn follow(&mut self, pause: &mut Duration) -> Result<(), String> {
+        let connecting = timeout(CONNECT, TcpStream::connect(self.address));
+        let mut stream = connecting.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
+        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+        stream.write_all(format!("watch {}\n", self.last).as_bytes()).await.map_err(|e| e.to_string())?;
+        let mut lines = BufReader::new(stream);
+        let mut line = Vec::new();
+        loop {
+            line.clear();
+            let mut bounded = (&mut lines).take(LINE_MOST);
+            let read = timeout(SILENCE, bounded.read_until(b'\n', &mut line)).await;
+            read.map_err(|_| "silent")?.map_err(|e| e.to_string())?;
+            if line.last() != Some(&b'\n') {
+                return Err("closed, or a line too long".into());
+            }
+            self.line(&line).await?;
+            *pause = PAUSE;
+        }
+    }
+
+    async fn line(&mut self, line: &[u8]) -> Result<(), String> {
+        let value: Value = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"))?;
+        if let Some(number) = value.as_u64() {
+            return if number > self.last {
+                Err(format!("at {number}, {} came last", self.last))
+            } else {
+                Ok(())
+            };
+        }
+        let number = value.get("rev").and_then(Value::as_u64).ok_or("an event without a number")?;
+        if number <= self.last {
+            return Ok(());
+        }
+        if number > self.last + 1 {
+            return Err(format!("event {number} after {}", self.last));
+        }
+        let (_, notice) = numbered(&value, &self.places, &self.clock)?;
+        self.last = number;
+        if let Some(notice) = notice {
+            self.decider.send(Message::Notice(notice)).await.map_err(|_| "the router has ended")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/router/src/clock.rs
@@ -0,0 +1,51 @@
+//! Time as the decisions count it. Timers run on the monotonic clock; the world's stamps are Unix times.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// How long before its start a router's zero lies: what happened before the start keeps its distance.
+const BEFORE_START: Duration = Duration::from_secs(30 * 24 * 3600);
+
+/// Spans since a zero well before the start, tied to both clocks once.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    zero: Instant,
+    past: Duration,
+    /// The Unix time of the zero.
+    unix: Duration,
+}
+
+impl Clock {
+    pub fn start() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { zero: Instant::now(), past: BEFORE_START, unix: unix.saturating_sub(BEFORE_START) }
+    }
+
+    pub fn now(&self) -> Duration {
+        self.past + self.zero.elapsed()
+    }
+
+    pub fn instant(&self, at: Duration) -> Instant {
+        self.zero + at.saturating_sub(self.past)
+    }
+
+    /// A stamp of the system's clock, in milliseconds, as a span since the zero.
+    pub fn from_unix_ms(&self, ms: u64) -> Duration {
+        Duration::from_millis(ms).saturating_sub(self.unix)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn stamps_before_the_start_keep_their_distance() {
+        let clock = Clock::start();
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let minute_ago = clock.from_unix_ms(unix.as_millis() as u64 - 60_000);
+        let ago = clock.now() - minute_ago;
+        assert!(ago >= Duration::from_secs(59) && ago <= Duration::from_secs(62), "{ago:?}");
+        assert!(clock.instant(clock.now()) <= Instant::now());
+    }
+}
--- /dev/null
+++ b/crates/router/src/decider.rs
@@ -0,0 +1,422 @@
+//! Owns the decisions: hands them what happens, and does what they order. Nothing is decided here.
+
+use crate::clock::Clock;
+use crate::lines::{Answer, Passed, ask};
+use crate::link::{Ask, Key};
+use crate::notices::Notice;
+use crate::phase::Phase;
+use crate::server::{Order, Server};
+use crate::told::Limits;
+use bytes::Bytes;
+use chalkhall::control::Router;
+use chalkhall::interface::{
+    self, Arrival, Deployment, Fill, Id, ListKind, Member, Outcome, Outlet, Standing,
+};
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::spawn_local;
+
+/// Orders on their way to a server's actor, which takes them at once; more are reported never sent.
+const ORDERS_MOST: usize = 1024;
+/// An object's bytes, at most: what an execution may bring into memory.
+const OBJECT_MOST: usize = 240_000;
+const CONNECTIONS_MOST: usize = 8;
+
+pub enum Message {
+    Access(Box<New>),
+    Left(Id),
+    /// So many bytes of bodies have been written to a client, or dropped.
+    Written(usize),
+    Ended(Ended),
+    Notice(Notice),
+    Stop,
+}
+
+/// An access as a client's connection read it.
+pub struct New {
+    pub arrival: Arrival,
+    pub passed: Passed,
+    pub read_at: Duration,
+    pub tag: u64,
+    pub client: mpsc::Sender<Reply>,
+}
+
+pub struct Ended {
+    pub key: Key,
+    pub outcome: Outcome,
+    pub answer: Option<Answer>,
+}
+
+/// The final answer of an access, for its client.
+#[derive(Debug)]
+pub struct Reply {
+    pub tag: u64,
+    pub id: Id,
+    pub last: Last,
+}
+
+#[derive(Debug)]
+pub enum Last {
+    Honoured {
+        etag: Option<Bytes>,
+        body: Bytes,
+    },
+    /// The client's own copy holds.
+    Unchanged {
+        etag: Option<Bytes>,
+    },
+    Declined(Option<Duration>),
+    GivenUp,
+}
+
+/// Of an access: to whom its final answer goes, until it has gone, and its executions.
+struct Taken {
+    client: Option<mpsc::Sender<Reply>>,
+    tag: u64,
+    passed: Passed,
+    executions: Vec<Execution>,
+}
+
+struct Execution {
+    server: mpsc::Sender<Order>,
+    sent: Duration,
+    open: bool,
+}
+
+struct Post {
+    orders: mpsc::Sender<Order>,
+    dial: SocketAddr,
+    started: Option<Duration>,
+}
+
+/// Where the orders of the decisions are carried out.
+struct Desk {
+    now: Duration,
+    clock: Clock,
+    accesses: HashMap<Id, Taken>,
+    posts: HashMap<Id, Post>,
+    timers: BinaryHeap<Reverse<(Duration, u64)>>,
+    /// Executions that could not be handed on, and accesses to be forgotten when all is back.
+    unsent: VecDeque<Key>,
+    answered: Vec<Id>,
+    /// A first byte leaves this soon after its decision, or not at all.
+    leave_within: Duration,
+    /// Bytes of bodies on their way to clients, and executions that may bring more.
+    in_hand: usize,
+    out: usize,
+}
+
+impl Desk {
+    fn reply(&mut self, id: &Id, last: Last) -> bool {
+        let Some(taken) = self.accesses.get_mut(id) else { return false };
+        let Some(client) = taken.client.take() else { return false };
+        let bytes = if let Last::Honoured { body, .. } = &last { body.len() } else { 0 };
+        // A client has no more accesses open than its mailbox holds; where it fails, the client has gone.
+        if client.try_send(Reply { tag: taken.tag, id: id.clone(), last }).is_ok() {
+            self.in_hand += bytes;
+        }
+        self.answered.push(id.clone());
+        true
+    }
+}
+
+impl Outlet for Desk {
+    fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: &Fill) {
+        let Some(taken) = self.accesses.get_mut(access) else { return };
+        let key = (access.clone(), taken.executions.len());
+        let Some(post) = self.posts.get(server) else {
+            log::warn!("an execution for {server}, which the list does not hold");
+            return self.unsent.push_back(key);
+        };
+        let ask = Ask {
+            key: key.clone(),
+            passed: taken.passed.clone(),
+            line: ask(&taken.passed, server, limit, fill),
+            due: self.clock.instant(self.now + limit),
+            leave_by: self.clock.instant(self.now + self.leave_within),
+        };
+        let (server, sent) = (post.orders.clone(), self.now);
+        if server.try_send(Order::Ask(ask)).is_err() {
+            self.unsent.push_back(key);
+        }
+        taken.executions.push(Execution { server, sent, open: true });
+        self.out += 1;
+    }
+
+    fn decline(&mut self, access: &Id, advice: Option<Duration>) {
+        self.reply(access, Last::Declined(advice));
+    }
+
+    fn give_up(&mut self, access: &Id) {
+        self.reply(access, Last::GivenUp);
+    }
+
+    fn cancel(&mut self, access: &Id, execution: usize) {
+        let executions = self.accesses.get(access).map(|taken| &taken.executions);
+        if let Some(execution_out) = executions.and_then(|e| e.get(execution)).filter(|e| e.open) {
+            // Where this fails the execution ends by its own time.
+            let _ = execution_out.server.try_send(Order::Quit((access.clone(), execution)));
+        }
+    }
+
+    fn wake_at(&mut self, at: Duration, mark: u64) {
+        self.timers.push(Reverse((at, mark)));
+    }
+
+    fn watch_list(&mut self) {
+        // The notice board tells every router unasked.
+    }
+}
+
+pub struct Decider {
+    router: Router,
+    desk: Desk,
+    limits: Limits,
+    /// Bodies in hand, present and to come, past which new accesses are declined at the door.
+    bodies_most: usize,
+    idle: Duration,
+    phase: watch::Sender<Phase>,
+    longest_hard_limit: Duration,
+    /// For the servers' actors to answer to.
+    messages: mpsc::Sender<Message>,
+}
+
+impl Decider {
+    pub fn start(
+        clock: Clock,
+        deployment: &Deployment,
+        limits: Limits,
+        phase: watch::Sender<Phase>,
+        messages: mpsc::Sender<Message>,
+    ) -> Decider {
+        let now = clock.now();
+        let mut desk = Desk {
+            now,
+            clock,
+            accesses: HashMap::new(),
+            posts: HashMap::new(),
+            timers: BinaryHeap::new(),
+            unsent: VecDeque::new(),
+            answered: Vec::new(),
+            leave_within: shortest(deployment),
+            in_hand: 0,
+            out: 0,
+        };
+        Decider {
+            router: Router::start(now, deployment, &mut desk),
+            desk,
+            bodies_most: (limits.memory / 2) as usize,
+            // Idle connections are closed before the other side does.
+            idle: limits.idle_close.mul_f64(0.8),
+            limits,
+            phase,
+            longest_hard_limit: deployment.categories.iter().map(|c| c.hard_limit).max().unwrap_or_default(),
+            messages,
+        }
+    }
+
+    pub async fn run(mut self, mut mailbox: mpsc::Receiver<Message>) {
+        loop {
+            self.desk.now = self.desk.clock.now();
+            self.wake();
+            let phase = *self.phase.borrow();
+            let open = self.desk.accesses.values().filter(|taken| taken.client.is_some()).count();
+            let after =
+                if matches!(phase, Phase::Draining { .. }) { phase.at(self.desk.now, open) } else { phase };
+            if after == Phase::Ended {
+                return self.finish();
+            }
+            let due = self.desk.timers.peek().map(|Reverse((at, _))| *at);
+            let look = due.into_iter().chain(phase.next_look(self.desk.now)).min();
+            tokio::select! {
+                biased;
+                message = mailbox.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return self.finish(),
+                },
+                () = crate::link::at(look.map(|at| self.desk.clock.instant(at))) => {}
+            }
+        }
+    }
+
+    /// What is still open when time has run out is given up: an end without an answer would lose it.
+    fn finish(&mut self) {
+        let open: Vec<Id> = self.desk.accesses.keys().cloned().collect();
+        for id in open {
+            if self.desk.reply(&id, Last::GivenUp) {
+                self.router.left(self.desk.now, &id, &mut self.desk);
+            }
+        }
+        self.phase.send_replace(Phase::Ended);
+    }
+
+    fn wake(&mut self) {
+        while let Some(Reverse((at, mark))) = self.desk.timers.peek().copied() {
+            if at > self.desk.now {
+                break;
+            }
+            self.desk.timers.pop();
+            self.router.wake(self.desk.now, mark, &mut self.desk);
+            self.settle();
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        self.desk.now = self.desk.clock.now();
+        match message {
+            Message::Access(new) => self.access(*new),
+            Message::Left(id) => {
+                if let Some(taken) = self.desk.accesses.get_mut(&id) {
+                    taken.client = None;
+                    self.desk.answered.push(id.clone());
+                    self.router.left(self.desk.now, &id, &mut self.desk);
+                }
+            }
+            Message::Written(bytes) => self.desk.in_hand = self.desk.in_hand.saturating_sub(bytes),
+            Message::Ended(ended) => self.ended(ended),
+            Message::Notice(notice) => self.notice(notice),
+            Message::Stop => {
+                let phase = *self.phase.borrow();
+                log::info!("asked to stop, with {} accesses open", self.desk.accesses.len());
+                self.phase.send_replace(phase.asked_to_stop(self.desk.now, self.longest_hard_limit));
+            }
+        }
+        self.settle();
+    }
+
+    fn access(&mut self, new: New) {
+        let New { mut arrival, passed, read_at, tag, client } = new;
+        let refuse = |last| {
+            let _ = client.try_send(Reply { tag, id: arrival.id.clone(), last });
+        };
+        if self.desk.accesses.contains_key(&arrival.id) {
+            log::info!("an access with an id that is in use");
+            return refuse(Last::GivenUp);
+        }
+        // Rather an early decline than being killed for memory or losing count of what is open.
+        let bodies = self.desk.in_hand + (self.desk.out + 1) * OBJECT_MOST;
+        if bodies > self.bodies_most || self.desk.accesses.len() >= self.limits.open_accesses {
+            return refuse(Last::Declined(None));
+        }
+        arrival.left = arrival.left.saturating_sub(self.desk.now.saturating_sub(read_at));
+        let taken = Taken { client: Some(client), tag, passed, executions: Vec::new() };
+        self.desk.accesses.insert(arrival.id.clone(), taken);
+        self.router.access(self.desk.now, arrival, &mut self.desk);
+    }
+
+    fn ended(&mut self, ended: Ended) {
+        let Ended { key: (id, n), outcome, answer } = ended;
+        let desk = &mut self.desk;
+        let Some(taken) = desk.accesses.get_mut(&id) else { return };
+        let Some(execution) = taken.executions.get_mut(n).filter(|e| e.open) else { return };
+        execution.open = false;
+        desk.out -= 1;
+        let took = desk.now.saturating_sub(execution.sent);
+        let unasked = taken.passed.have.is_none();
+        let mut told = interface::Ended {
+            outcome,
+            remark: interface::Remark::None,
+            took,
+            first_byte: None,
+            over: false,
+            load: interface::Load::default(),
+        };
+        if let Some(answer) = answer {
+            (told.remark, told.first_byte, told.load) = (answer.remark, answer.first_byte, answer.load);
+            if answer.same && unasked {
+                log::info!("a server says that a copy holds which nobody named");
+                told.outcome = Outcome::Error;
+            }
+            if told.outcome == Outcome::Honoured {
+                // The first honoured execution is the client's answer.
+                let etag = answer.etag;
+                let last = if answer.same {
+                    Last::Unchanged { etag }
+                } else {
+                    Last::Honoured { etag, body: answer.body }
+                };
+                desk.reply(&id, last);
+            }
+        }
+        told.over = desk.accesses.get(&id).is_some_and(|taken| taken.client.is_none());
+        desk.answered.push(id.clone());
+        self.router.result(desk.now, &id, n, &told, desk);
+    }
+
+    /// Tells the decisions of what could not be sent, and forgets accesses that are answered and all back.
+    fn settle(&mut self) {
+        while let Some(key) = self.desk.unsent.pop_front() {
+            self.ended(Ended { key, outcome: Outcome::NeverSent, answer: None });
+        }
+        for id in std::mem::take(&mut self.desk.answered) {
+            let over = |taken: &Taken| taken.client.is_none() && taken.executions.iter().all(|e| !e.open);
+            if self.desk.accesses.get(&id).is_some_and(over) {
+                self.desk.accesses.remove(&id);
+            }
+        }
+    }
+
+    pub fn notice(&mut self, notice: Notice) {
+        let now = self.desk.clock.now();
+        match notice {
+            Notice::Purge { object, group, ms } => {
+                let ago = now.saturating_sub(self.desk.clock.from_unix_ms(ms));
+                self.router.purged(now, object, group, ago);
+            }
+            Notice::List { whole, members } => {
+                let kind = if whole { ListKind::Whole } else { ListKind::Changes };
+                if whole {
+                    self.desk.posts.retain(|name, _| members.iter().any(|(m, _)| m.server == *name));
+                }
+                let share = self.limits.sockets / 3 / (2 * members.len().max(self.desk.posts.len()).max(1));
+                for (member, dial) in &members {
+                    self.post(member, *dial, share.clamp(1, CONNECTIONS_MOST));
+                }
+                let members: Vec<Member> = members.into_iter().map(|(member, _)| member).collect();
+                self.router.list(now, kind, &members, &mut self.desk);
+            }
+        }
+    }
+
+    /// A server is known by its name: one of another name at an old address has an actor of its own.
+    fn post(&mut self, member: &Member, dial: SocketAddr, connections_most: usize) {
+        if member.standing == Standing::Gone {
+            // What is out there still ends; its actor ends after it.
+            self.desk.posts.remove(&member.server);
+            return;
+        }
+        let clock = self.desk.clock;
+        if let Some(post) = self.desk.posts.get_mut(&member.server) {
+            if (post.dial, post.started) != (dial, member.started) {
+                (post.dial, post.started) = (dial, member.started);
+                let started = member.started.map(|at| clock.instant(at));
+                let _ = post.orders.try_send(Order::Anew { dial, started });
+            }
+            return;
+        }
+        let (orders, receiver) = mpsc::channel(ORDERS_MOST);
+        let (orders_of_links, from_links) = mpsc::channel(ORDERS_MOST);
+        let server = Server {
+            name: member.server.clone(),
+            dial,
+            connections_most,
+            streams: self.limits.streams,
+            connect_timeout: self.limits.connect_timeout,
+            idle: self.idle,
+            orders: receiver,
+            orders_of_links,
+            decider: self.messages.clone(),
+        };
+        spawn_local(server.run(from_links));
+        self.desk.posts.insert(member.server.clone(), Post { orders, dial, started: member.started });
+    }
+}
+
+/// The shortest grace of a drain or a purge: a send that leaves within it was decided before the grace ended.
+fn shortest(deployment: &Deployment) -> Duration {
+    let graces = [deployment.drain_grace, deployment.purge_grace].into_iter().filter(|g| !g.is_zero());
+    graces.min().unwrap_or(Duration::from_millis(500))
+}
--- /dev/null
+++ b/crates/router/src/lines.rs
@@ -0,0 +1,272 @@
+//! The protocol of cache servers, parents and origin: lines of words, bodies behind lengths. Pure: no I/O.
+
+use crate::resp::{Nonsense, fields, number};
+use bytes::{Buf, Bytes, BytesMut};
+use chalkhall::interface::{Fill, Load, Outcome, Remark};
+use std::fmt::Write;
+use std::time::Duration;
+
+/// Objects hold 240,000 bytes at most.
+const BODY_MOST: usize = 256_000;
+const LINE_MOST: usize = 2_048;
+
+/// What a request passes on of an access as it came.
+#[derive(Clone, Debug, Default)]
+pub struct Passed {
+    pub id: Bytes,
+    pub category: Bytes,
+    pub object: Bytes,
+    pub part: Bytes,
+    /// The tag of the client's copy.
+    pub have: Option<Bytes>,
+    pub body: Bytes,
+}
+
+/// The line of a request; its body and the end of a line follow.
+pub fn ask(passed: &Passed, server: &str, limit: Duration, fill: &Fill) -> BytesMut {
+    let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
+    let mut line = format!(
+        "ASK {} cls={},item={},chunk={},limit={}",
+        text(&passed.id),
+        text(&passed.category),
+        text(&passed.object),
+        text(&passed.part),
+        limit.as_millis().max(1)
+    );
+    // A server named as its own source is asked for no fill.
+    if *fill.source != *server {
+        let _ = write!(line, ",src={}", fill.source);
+    }
+    if fill.rank > 0 {
+        let _ = write!(line, ",keep={}", fill.rank);
+    }
+    if let Some(oldest) = fill.oldest {
+        // Rounded down, a copy is younger than need be; never 0, which would mean any within the fresh time.
+        let _ = write!(line, ",maxage={}", oldest.as_millis().max(1));
+    }
+    let flags = [
+        (fill.join, "collapse"),
+        (fill.only_held, "only-if-cached"),
+        (!fill.parent_keeps, "no-store-up"),
+        (fill.renew, "refresh"),
+    ];
+    let flags: Vec<_> = flags.into_iter().filter_map(|(set, word)| set.then_some(word)).collect();
+    if !flags.is_empty() {
+        let _ = write!(line, ",flags={}", flags.join("+"));
+    }
+    if let Some(have) = &passed.have {
+        let _ = write!(line, ",have={}", text(have));
+    }
+    let _ = write!(line, " {}\r\n", passed.body.len());
+    BytesMut::from(line.as_str())
+}
+
+pub fn quit(id: &[u8]) -> Bytes {
+    [b"QUIT ", id, b"\r\n"].concat().into()
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    pub id: Bytes,
+    pub outcome: Outcome,
+    /// The client's copy is the one that would be sent.
+    pub same: bool,
+    pub remark: Remark,
+    pub first_byte: Option<Duration>,
+    pub load: Load,
+    pub etag: Option<Bytes>,
+    pub body: Bytes,
+}
+
+fn remark(word: &[u8]) -> Remark {
+    match word {
+        b"hit" => Remark::Hit,
+        b"filled" => Remark::Filled,
+        b"via_origin" => Remark::FilledByOrigin,
+        b"joined" => Remark::Joined,
+        b"stale" => Remark::Stale,
+        b"src_refused" => Remark::SourceRefused,
+        b"src_broke" => Remark::SourceUnreached,
+        b"src_lacks" => Remark::SourceLacks,
+        b"no_slot" => Remark::NoFillPlace,
+        b"origin_failed" => Remark::OriginFailed,
+        _ => Remark::None,
+    }
+}
+
+fn load(meter: &[u8]) -> Load {
+    let mut load = Load::default();
+    for entry in meter.split(|b| *b == b';').filter_map(|entry| std::str::from_utf8(entry).ok()) {
+        let Some((name, value)) = entry.split_once(':') else { continue };
+        let value = value.parse().ok().filter(|v: &f64| v.is_finite());
+        match name {
+            "inflight" | "rif" => load.in_hand = value,
+            "queue" | "q" => load.queued = value,
+            "util" | "busy" => load.busy = value,
+            "x0" => load.hit_share = value,
+            "x1" => load.link = value,
+            _ => {}
+        }
+    }
+    load
+}
+
+/// Takes answers from a stream that may be split anywhere.
+#[derive(Default)]
+pub struct Answers {
+    /// The answer whose body is coming, and the body's length.
+    begun: Option<(Answer, usize)>,
+}
+
+impl Answers {
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Answer>, Nonsense> {
+        loop {
+            if let Some((_, length)) = &self.begun {
+                let length = *length;
+                if buffer.len() < length + 2 {
+                    buffer.reserve(length + 2 - buffer.len());
+                    return Ok(None);
+                }
+                if &buffer[length..length + 2] != b"\r\n" {
+                    return Err(Nonsense("a body that does not end where it says"));
+                }
+                let Some((mut answer, _)) = self.begun.take() else { return Ok(None) };
+                answer.body = buffer.split_to(length).freeze();
+                buffer.advance(2);
+                return Ok(Some(answer));
+            }
+            let Some(end) = buffer.iter().take(LINE_MOST).position(|b| *b == b'\n') else {
+                let long = buffer.len() >= LINE_MOST;
+                return if long { Err(Nonsense("a line too long")) } else { Ok(None) };
+            };
+            let line = buffer.split_to(end + 1).freeze();
+            let line = line.slice(..line.len() - if line.ends_with(b"\r\n") { 2 } else { 1 });
+            self.begun = Some(begin(&line)?);
+        }
+    }
+}
+
+/// The line of an answer, and how long a body follows.
+fn begin(line: &Bytes) -> Result<(Answer, usize), Nonsense> {
+    let mut words = line.split(|b| *b == b' ').map(|word| line.slice_ref(word));
+    let (Some(id), Some(word), Some(list), Some(length), None) =
+        (words.next(), words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(Nonsense("an answer that is not four words"));
+    };
+    let (outcome, same) = match &word[..] {
+        b"OK" => (Outcome::Honoured, false),
+        b"SAME" => (Outcome::Honoured, true),
+        b"MISS" => (Outcome::Missing, false),
+        b"BUSY" => (Outcome::Full, false),
+        b"ERR" => (Outcome::Error, false),
+        b"VOID" => (Outcome::NeverSent, false),
+        _ => return Err(Nonsense("an answer of an unknown word")),
+    };
+    let length = number(&length).filter(|n| *n <= BODY_MOST as u64).ok_or(Nonsense("a body too long"))?;
+    let (first_byte, etag, body) = (None, None, Bytes::new());
+    let load_none = Load::default();
+    let mut answer =
+        Answer { id, outcome, same, remark: Remark::None, first_byte, load: load_none, etag, body };
+    for (name, value) in fields(&list) {
+        match name {
+            b"tell" => answer.remark = remark(&value),
+            b"ttfb" => {
+                let ms = std::str::from_utf8(&value).ok().and_then(|v| v.parse::<f64>().ok());
+                answer.first_byte = ms.and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok());
+            }
+            b"meter" => answer.load = load(&value),
+            b"etag" => answer.etag = Some(value),
+            _ => {}
+        }
+    }
+    Ok((answer, length as usize))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn all(answers: &mut Answers, buffer: &mut BytesMut) -> Result<Vec<Answer>, Nonsense> {
+        let mut found = Vec::new();
+        while let Some(answer) = answers.next(buffer)? {
+            found.push(answer);
+        }
+        Ok(found)
+    }
+
+    #[test]
+    fn answers_are_the_same_at_every_split() {
+        let stream = b"a1 OK tell=hit,etag=4be0,made=17,meter=inflight:7;util:0.61 6\r\nx\r\ny\r\n\r\nb2 MISS - 0\r\n\r\nc3 SAME tell=via_origin,ttfb=12.5,etag=q 0\r\n\r\n";
+        let whole = all(&mut Answers::default(), &mut BytesMut::from(&stream[..])).unwrap();
+        assert_eq!(whole.len(), 3);
+        assert_eq!((whole[0].outcome, whole[0].remark), (Outcome::Honoured, Remark::Hit));
+        assert_eq!(whole[0].body, &b"x\r\ny\r\n"[..]);
+        assert_eq!((whole[0].load.in_hand, whole[0].load.busy), (Some(7.0), Some(0.61)));
+        assert_eq!(whole[1].outcome, Outcome::Missing);
+        assert!(whole[2].same);
+        assert_eq!(whole[2].first_byte, Some(Duration::from_micros(12_500)));
+        for at in 0..=stream.len() {
+            let (mut answers, mut buffer) = (Answers::default(), BytesMut::from(&stream[..at]));
+            let mut found = all(&mut answers, &mut buffer).unwrap();
+            buffer.extend_from_slice(&stream[at..]);
+            found.extend(all(&mut answers, &mut buffer).unwrap());
+            assert_eq!(found, whole, "split at {at}");
+        }
+    }
+
+    #[test]
+    fn nonsense_is_refused() {
+        let bad = [
+            "a OK - 256001\r\n",
+            "a WHAT - 0\r\n",
+            "a OK -\r\n",
+            "a OK - 1 2\r\n",
+            "a OK - 1\r\nxyz",
+            "a OK - -1\r\n",
+        ];
+        for text in bad {
+            assert!(all(&mut Answers::default(), &mut BytesMut::from(text)).is_err(), "{text:?}");
+        }
+        let long = "a".repeat(LINE_MOST);
+        assert!(all(&mut Answers::default(), &mut BytesMut::from(long.as_str())).is_err());
+    }
+
+    #[test]
+    fn a_request_says_what_was_ordered() {
+        let bytes = Bytes::from_static;
+        let mut passed =
+            Passed { id: bytes(b"a1"), category: bytes(b"page"), object: bytes(b"o1"), ..Passed::default() };
+        passed.part = bytes(b"3");
+        let mut fill = Fill {
+            source: "p1".into(),
+            rank: 2,
+            oldest: Some(Duration::from_micros(10)),
+            join: true,
+            only_held: true,
+            parent_keeps: false,
+            renew: true,
+        };
+        let limit = Duration::from_millis(1500);
+        assert_eq!(
+            ask(&passed, "s1", limit, &fill),
+            "ASK a1 cls=page,item=o1,chunk=3,limit=1500,src=p1,keep=2,maxage=1,\
+             flags=collapse+only-if-cached+no-store-up+refresh 0\r\n"
+        );
+        fill = Fill {
+            rank: 0,
+            oldest: None,
+            join: false,
+            only_held: false,
+            parent_keeps: true,
+            renew: false,
+            ..fill
+        };
+        (passed.have, passed.body) = (Some(bytes(b"4be0")), bytes(b"xy"));
+        assert_eq!(
+            ask(&passed, "p1", limit, &fill),
+            "ASK a1 cls=page,item=o1,chunk=3,limit=1500,have=4be0 2\r\n"
+        );
+        assert_eq!(quit(b"a1"), "QUIT a1\r\n");
+    }
+}
--- /dev/null
+++ b/crates/router/src/link.rs
@@ -0,0 +1,233 @@
+//! One connection to a server: writes requests, reads answers, watches the time of each execution.
+//!
+//! An execution waits unwritten until the connection stands and all before it has gone to the system; only from
+//! its first byte on may it have run. Each ends in one `Report::Ended`.
+
+use crate::lines::{Answer, Answers, Passed, quit};
+use crate::server::{Order, Report};
+use bytes::{Buf, Bytes, BytesMut};
+use chalkhall::interface::{Id, Outcome};
+use std::collections::{HashMap, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+
+/// An execution of an access: the access's id and its number within it.
+pub type Key = (Id, usize);
+
+/// One execution on its way to a server.
+#[derive(Debug)]
+pub struct Ask {
+    pub key: Key,
+    pub passed: Passed,
+    pub line: BytesMut,
+    /// When it has taken too long, and when its first byte must have left.
+    pub due: Instant,
+    pub leave_by: Instant,
+}
+
+pub enum LinkOrder {
+    Ask(Ask),
+    Quit(Key),
+}
+
+pub struct Link {
+    pub number: u64,
+    pub dial: SocketAddr,
+    pub connect_timeout: Duration,
+    pub orders: mpsc::Receiver<LinkOrder>,
+    pub server: mpsc::Sender<Order>,
+}
+
+struct Out {
+    key: Key,
+    due: Instant,
+    sent: Instant,
+}
+
+#[derive(Default)]
+struct State {
+    unwritten: VecDeque<Ask>,
+    /// By the id as the server sees it.
+    out: HashMap<Bytes, Out>,
+    writing: BytesMut,
+    quits: VecDeque<Bytes>,
+    ended: VecDeque<(Key, Outcome, Option<Answer>, bool)>,
+    heard: Option<Instant>,
+}
+
+impl State {
+    fn take(&mut self, order: LinkOrder) {
+        match order {
+            LinkOrder::Ask(ask) => self.unwritten.push_back(ask),
+            LinkOrder::Quit(key) => {
+                if let Some(at) = self.unwritten.iter().position(|ask| ask.key == key) {
+                    self.unwritten.remove(at);
+                    self.ended.push_back((key, Outcome::NeverSent, None, false));
+                } else if let Some(id) = self.out.iter().find(|(_, o)| o.key == key).map(|(id, _)| id.clone())
+                {
+                    self.abandon(id, Outcome::Cancelled);
+                }
+            }
+        }
+    }
+
+    /// Gives up one that may have run. Where nothing was heard since it went out, the connection may be dead.
+    fn abandon(&mut self, id: Bytes, outcome: Outcome) {
+        let Some(out) = self.out.remove(&id) else { return };
+        let silent = self.heard.is_none_or(|heard| heard < out.sent);
+        self.ended.push_back((out.key, outcome, None, silent));
+        self.quits.push_back(quit(&id));
+    }
+
+    fn next_due(&self) -> Option<Instant> {
+        let unwritten = self.unwritten.iter().map(|ask| ask.due.min(ask.leave_by));
+        unwritten.chain(self.out.values().map(|o| o.due)).min()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        // Sent later than this it could reach a server after the grace of a drain or a purge told meanwhile.
+        let late = |ask: &Ask| now >= ask.due.min(ask.leave_by);
+        while let Some(at) = self.unwritten.iter().position(late) {
+            let ask = self.unwritten.remove(at);
+            self.ended.extend(ask.map(|ask| (ask.key, Outcome::NeverSent, None, false)));
+        }
+        while let Some(id) = self.out.iter().find(|(_, o)| now >= o.due).map(|(id, _)| id.clone()) {
+            self.abandon(id, Outcome::TimedOut);
+        }
+    }
+
+    /// Takes the next thing to write, when all before it has gone.
+    fn fill(&mut self, now: Instant) {
+        if !self.writing.is_empty() {
+            return;
+        }
+        self.writing.clear();
+        while let Some(quit) = self.quits.pop_front() {
+            self.writing.extend_from_slice(&quit);
+        }
+        if !self.writing.is_empty() {
+            return;
+        }
+        if let Some(ask) = self.unwritten.pop_front() {
+            self.writing = ask.line;
+            self.writing.extend_from_slice(&ask.passed.body);
+            self.writing.extend_from_slice(b"\r\n");
+            self.out.insert(ask.passed.id, Out { key: ask.key, due: ask.due, sent: now });
+        }
+    }
+
+    fn answer(&mut self, answer: Answer) {
+        // Answers that crossed a QUIT come for nobody.
+        let Some(out) = self.out.remove(&answer.id) else { return };
+        self.ended.push_back((out.key, answer.outcome, Some(answer), false));
+    }
+
+    /// The connection is gone: what was written of may have run, the rest did not.
+    fn broken(&mut self, unwritten: Outcome) {
+        self.ended.extend(self.unwritten.drain(..).map(|ask| (ask.key, unwritten, None, false)));
+        self.ended.extend(self.out.drain().map(|(_, out)| (out.key, Outcome::Broken, None, false)));
+    }
+}
+
+impl Link {
+    pub async fn run(mut self) {
+        let mut state = State::default();
+        match self.connect(&mut state).await {
+            Some(Ok(stream)) => {
+                self.report(Report::Up).await;
+                if let Err(what) = self.serve(stream, &mut state).await {
+                    log::debug!("{}: {what}", self.dial);
+                }
+                state.broken(Outcome::NeverSent);
+            }
+            Some(Err(what)) => {
+                log::debug!("{}: {what}", self.dial);
+                state.broken(Outcome::Unreachable);
+            }
+            None => {}
+        }
+        // Orders that crossed the break get their ends too.
+        self.orders.close();
+        while let Some(order) = self.orders.recv().await {
+            state.take(order);
+        }
+        state.broken(Outcome::NeverSent);
+        self.tell(&mut state).await;
+        self.report(Report::Down).await;
+    }
+
+    async fn report(&self, report: Report) {
+        let _ = self.server.send(Order::Link(self.number, report)).await;
+    }
+
+    async fn tell(&self, state: &mut State) {
+        while let Some((key, outcome, answer, silent)) = state.ended.pop_front() {
+            self.report(Report::Ended { key, outcome, answer, silent }).await;
+        }
+    }
+
+    /// None: nobody wants the connection any more.
+    async fn connect(&mut self, state: &mut State) -> Option<io::Result<TcpStream>> {
+        let connecting = timeout(self.connect_timeout, TcpStream::connect(self.dial));
+        tokio::pin!(connecting);
+        loop {
+            self.tell(state).await;
+            let due = state.next_due();
+            tokio::select! {
+                made = &mut connecting => {
+                    let made = made.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
+                    return Some(made.and_then(|stream| stream.set_nodelay(true).map(|()| stream)));
+                }
+                order = self.orders.recv() => state.take(order?),
+                () = at(due) => state.expire(Instant::now()),
+            }
+        }
+    }
+
+    async fn serve(&mut self, mut stream: TcpStream, state: &mut State) -> Result<(), String> {
+        let (mut reader, mut writer) = stream.split();
+        let (mut buffer, mut answers) = (BytesMut::with_capacity(16 * 1024), Answers::default());
+        loop {
+            let now = Instant::now();
+            state.expire(now);
+            state.fill(now);
+            self.tell(state).await;
+            let due = state.next_due();
+            tokio::select! {
+                read = reader.read_buf(&mut buffer) => {
+                    if read.map_err(|e| e.to_string())? == 0 {
+                        return Err("closed by the server".into());
+                    }
+                    state.heard = Some(Instant::now());
+                    while let Some(answer) = answers.next(&mut buffer).map_err(|e| e.0.to_string())? {
+                        state.answer(answer);
+                    }
+                    if buffer.is_empty() && buffer.capacity() < 4 * 1024 {
+                        buffer.reserve(16 * 1024);
+                    }
+                }
+                wrote = writer.write(&state.writing), if !state.writing.is_empty() => {
+                    state.writing.advance(wrote.map_err(|e| e.to_string())?);
+                }
+                order = self.orders.recv() => match order {
+                    Some(order) => state.take(order),
+                    None => return Ok(()),
+                },
+                () = at(due) => {}
+            }
+        }
+    }
+}
+
+/// Waits for a time; for ever where there is none.
+pub async fn at(time: Option<Instant>) {
+    match time {
+        Some(time) => sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/router/src/notices.rs
@@ -0,0 +1,124 @@
+//! What the notice board tells: changes of the list of servers, and purges. Pure: no I/O.
+
+use crate::clock::Clock;
+use chalkhall::interface::{Id, Member, Standing, Tier};
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// The names by which the board calls locations and kinds, from the settings.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    pub locations: Vec<String>,
+    pub kinds: Vec<String>,
+    pub parent: Option<u64>,
+    pub origin: Option<u64>,
+}
+
+#[derive(Debug)]
+pub enum Notice {
+    List { whole: bool, members: Vec<(Member, SocketAddr)> },
+    Purge { object: Option<Id>, group: u64, ms: u64 },
+}
+
+/// One numbered event; an event of a kind that is not known is none.
+pub fn numbered(event: &Value, places: &Places, clock: &Clock) -> Result<(u64, Option<Notice>), String> {
+    let number = event.get("rev").and_then(Value::as_u64).ok_or("rev is not a whole number")?;
+    let notice = match (event.get("pool"), event.get("flush")) {
+        (Some(list), _) => {
+            let entries = list.get("hosts").and_then(Value::as_array).ok_or("pool.hosts is not an array")?;
+            let whole = list.get("whole").and_then(Value::as_bool).unwrap_or(false);
+            let members = entries.iter().map(|e| member(e, places, clock)).collect::<Result<_, _>>()?;
+            Some(Notice::List { whole, members })
+        }
+        (_, Some(purge)) => {
+            let object = purge.get("asset").and_then(Value::as_str).map(Id::from);
+            let group = purge.get("collection").and_then(Value::as_u64);
+            if object.is_none() && group.is_none() {
+                return Err("flush names neither asset nor collection".into());
+            }
+            let ms = purge.get("ms").and_then(Value::as_u64).ok_or("flush.ms is not a whole number")?;
+            Some(Notice::Purge { object, group: group.unwrap_or(0), ms })
+        }
+        _ => None,
+    };
+    Ok((number, notice))
+}
+
+fn member(entry: &Value, places: &Places, clock: &Clock) -> Result<(Member, SocketAddr), String> {
+    let text = |name: &str| entry.get(name).and_then(Value::as_str).ok_or(format!("{name} is not a text"));
+    let whole = |name: &str| entry.get(name).and_then(Value::as_u64);
+    let place = |among: &[String], name: &str| {
+        let called = text(name)?;
+        among.iter().position(|n| n == called).ok_or(format!("{name} {called:?} is not in the settings"))
+    };
+    let kind = Some(place(&places.kinds, "class")? as u64);
+    let dial = text("dial")?;
+    let member = Member {
+        server: text("host")?.into(),
+        location: place(&places.locations, "site")?,
+        tier: match kind {
+            kind if kind == places.parent => Tier::Parent,
+            kind if kind == places.origin => Tier::Origin,
+            _ => Tier::Cache,
+        },
+        cohort: whole("block").unwrap_or(0),
+        standing: match text("health")? {
+            "active" => Standing::Active,
+            "leaving" => Standing::Draining,
+            "left" => Standing::Gone,
+            other => return Err(format!("unknown health {other:?}")),
+        },
+        capacity: entry.get("share").and_then(Value::as_f64).filter(|v| *v >= 0.0).unwrap_or(1.0),
+        started: whole("born_ms").filter(|ms| *ms > 0).map(|ms| clock.from_unix_ms(ms)),
+    };
+    Ok((member, dial.parse().map_err(|_| format!("dial {dial:?} is not an address"))?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn places() -> Places {
+        let named = |names: &[&str]| names.iter().map(|n| n.to_string()).collect();
+        let (locations, kinds) = (named(&["west", "east"]), named(&["std", "parent", "origin"]));
+        Places { locations, kinds, parent: Some(1), origin: Some(2) }
+    }
+
+    fn read(text: &str) -> Result<(u64, Option<Notice>), String> {
+        numbered(&serde_json::from_str(text).unwrap(), &places(), &Clock::start())
+    }
+
+    const HOST: &str = r#"{"rev":41,"pool":{"seq":7,"whole":true,"hosts":[{"host":"s-1","dial":"10.1.0.9:5050",
+        "site":"east","class":"parent","block":2,"health":"leaving","share":4,"born_ms":0}]}}"#;
+
+    #[test]
+    fn lists_and_purges_are_read() {
+        let (number, Some(Notice::List { whole, members })) = read(HOST).unwrap() else { panic!("no list") };
+        assert_eq!((number, whole, members.len()), (41, true, 1));
+        let (member, dial) = &members[0];
+        assert_eq!((member.location, member.tier, member.standing), (1, Tier::Parent, Standing::Draining));
+        assert_eq!((member.started, dial.port(), member.capacity), (None, 5050, 4.0));
+        let (_, Some(Notice::Purge { object, group, ms })) =
+            read(r#"{"rev":2,"flush":{"asset":"o","ms":5}}"#).unwrap()
+        else {
+            panic!("no purge")
+        };
+        assert_eq!((object.as_deref(), group, ms), (Some("o"), 0, 5));
+        assert!(matches!(read(r#"{"rev":3,"other":{}}"#), Ok((3, None))));
+    }
+
+    #[test]
+    fn faults_are_named() {
+        let faulty = [
+            (HOST.replace("east", "north"), "site"),
+            (HOST.replace("10.1.0.9:5050", "nowhere"), "dial"),
+            (HOST.replace("leaving", "odd"), "health"),
+            (HOST.replace(r#""host":"s-1","#, ""), "host"),
+            (r#"{"rev":2,"flush":{"ms":5}}"#.into(), "asset"),
+            (r#"{"flush":{"ms":5}}"#.into(), "rev"),
+        ];
+        for (text, named) in faulty {
+            assert!(read(&text).unwrap_err().contains(named), "{text}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/router/src/phase.rs
@@ -0,0 +1,83 @@
+//! The router's phases, from start to exit: named states of one object.
+
+use std::time::Duration;
+
+/// After a request to stop, connections and accesses go on coming for up to this long.
+const STILL_COMING: Duration = Duration::from_millis(800);
+/// What is killed comes no sooner than the longest hard limit, this at most, and this much more after it.
+const LONGEST: Duration = Duration::from_millis(3000);
+const AFTER_LONGEST: Duration = Duration::from_millis(700);
+/// Held back from that for the last answers to be written.
+const LAST_WORDS: Duration = Duration::from_millis(250);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// Not listening yet, or the list is not known.
+    Starting,
+    Serving,
+    /// Asked to stop: takes and answers what still comes, no longer calls itself ready.
+    Draining {
+        since: Duration,
+        until: Duration,
+    },
+    Ended,
+}
+
+impl Phase {
+    pub fn ready(self) -> bool {
+        self == Phase::Serving
+    }
+
+    #[must_use]
+    pub fn asked_to_stop(self, now: Duration, longest_hard_limit: Duration) -> Phase {
+        match self {
+            Phase::Starting | Phase::Serving => {
+                let until = now + longest_hard_limit.min(LONGEST) + AFTER_LONGEST - LAST_WORDS;
+                Phase::Draining { since: now, until }
+            }
+            later => later,
+        }
+    }
+
+    /// Draining ends when nothing more can come and all is answered, at the latest when a kill may come.
+    #[must_use]
+    pub fn at(self, now: Duration, open: usize) -> Phase {
+        match self {
+            Phase::Draining { since, until }
+                if now >= until || (open == 0 && now >= since + STILL_COMING) =>
+            {
+                Phase::Ended
+            }
+            same => same,
+        }
+    }
+
+    /// When the phase may change by time alone.
+    pub fn next_look(self, now: Duration) -> Option<Duration> {
+        match self {
+            Phase::Draining { since, until } => {
+                Some([since + STILL_COMING, until].into_iter().find(|at| *at > now).unwrap_or(until))
+            }
+            _ => None,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn draining_waits_for_what_comes_and_ends_before_a_kill() {
+        let ms = Duration::from_millis;
+        assert!(!Phase::Starting.ready() && Phase::Serving.ready());
+        let phase = Phase::Serving.asked_to_stop(ms(1000), ms(5000));
+        assert!(!phase.ready());
+        assert_eq!(phase.asked_to_stop(ms(1500), ms(5000)), phase);
+        assert_eq!(phase.at(ms(1700), 0), phase, "more may come");
+        assert_eq!(phase.at(ms(1800), 1), phase, "one is open");
+        assert_eq!(phase.at(ms(1800), 0), Phase::Ended);
+        assert_eq!(phase.at(ms(4449), 1), phase);
+        assert_eq!(phase.at(ms(4450), 1), Phase::Ended);
+    }
+}
--- /dev/null
+++ b/crates/router/src/server.rs
@@ -0,0 +1,202 @@
+//! A cache server, a parent or the origin: shares a few connections among the executions sent to it.
+
+use crate::decider::{Ended, Message};
+use crate::lines::Answer;
+use crate::link::{Ask, Key, Link, LinkOrder};
+use bytes::Bytes;
+use chalkhall::interface::{Id, Outcome};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep};
+
+/// A second connection is opened where the least busy one carries this many.
+const SHARED_FROM: usize = 4;
+/// Orders waiting for one connection; more are reported never sent.
+const ORDERS_MOST: usize = 256;
+/// Ids of which an answer may still come that nobody wants.
+const QUIT_IDS_MOST: usize = 256;
+
+pub enum Order {
+    Ask(Ask),
+    Quit(Key),
+    /// The list tells of a start or an address: connections from before it lead elsewhere.
+    Anew {
+        dial: SocketAddr,
+        started: Option<Instant>,
+    },
+    Link(u64, Report),
+}
+
+pub enum Report {
+    Up,
+    Ended { key: Key, outcome: Outcome, answer: Option<Answer>, silent: bool },
+    Down,
+}
+
+struct Held {
+    number: u64,
+    orders: mpsc::Sender<LinkOrder>,
+    open: usize,
+    up: bool,
+    made: Instant,
+    /// Takes nothing new: it fell silent, or stands idle, or leads elsewhere.
+    retired: bool,
+    used: Instant,
+    /// An answer to one of these that crossed its QUIT would pass for that to a later execution.
+    quit: VecDeque<Bytes>,
+}
+
+pub struct Server {
+    pub name: Id,
+    pub dial: SocketAddr,
+    pub connections_most: usize,
+    pub streams: usize,
+    pub connect_timeout: Duration,
+    pub idle: Duration,
+    pub orders: mpsc::Receiver<Order>,
+    pub orders_of_links: mpsc::Sender<Order>,
+    pub decider: mpsc::Sender<Message>,
+}
+
+#[derive(Default)]
+struct Hands {
+    links: Vec<Held>,
+    last: u64,
+    out: HashMap<Key, (u64, Bytes)>,
+}
+
+impl Server {
+    /// Runs until the decider has let go of it and all that is out has ended.
+    pub async fn run(mut self, mut from_links: mpsc::Receiver<Order>) {
+        let mut hands = Hands::default();
+        let mut wanted = true;
+        while wanted || !hands.out.is_empty() {
+            tokio::select! {
+                order = self.orders.recv(), if wanted => match order {
+                    Some(order) => self.order(&mut hands, order).await,
+                    None => wanted = false,
+                },
+                Some(order) = from_links.recv() => self.order(&mut hands, order).await,
+                () = sleep(self.idle / 4), if !hands.links.is_empty() => {}
+            }
+            let now = Instant::now();
+            // Closed before the other side does it: a request that crosses a close may have run.
+            hands.links.iter_mut().for_each(|l| l.retired |= l.open == 0 && now >= l.used + self.idle);
+            hands.links.retain(|l| !(l.retired && l.open == 0));
+        }
+    }
+
+    async fn end(&self, key: Key, outcome: Outcome, answer: Option<Answer>) {
+        let _ = self.decider.send(Message::Ended(Ended { key, outcome, answer })).await;
+    }
+
+    async fn order(&mut self, hands: &mut Hands, order: Order) {
+        match order {
+            Order::Ask(ask) => {
+                let key = ask.key.clone();
+                if !self.pass(hands, ask) {
+                    self.end(key, Outcome::NeverSent, None).await;
+                }
+            }
+            Order::Quit(key) => {
+                let Some((number, _)) = hands.out.get(&key) else { return };
+                // Where the connection takes no orders its end is on the way.
+                if let Some(link) = hands.links.iter().find(|l| l.number == *number) {
+                    let _ = link.orders.try_send(LinkOrder::Quit(key));
+                }
+            }
+            Order::Anew { dial, started } => {
+                let elsewhere = dial != self.dial;
+                self.dial = dial;
+                let before = |link: &Held| elsewhere || started.is_some_and(|at| link.made < at);
+                hands.links.iter_mut().filter(|l| before(l)).for_each(|l| l.retired = true);
+            }
+            Order::Link(number, Report::Up) => {
+                hands.links.iter_mut().filter(|l| l.number == number).for_each(|l| l.up = true);
+            }
+            Order::Link(number, Report::Down) => hands.links.retain(|l| l.number != number),
+            Order::Link(number, Report::Ended { key, outcome, answer, silent }) => {
+                let Some((_, id)) = hands.out.remove(&key) else { return };
+                if let Some(link) = hands.links.iter_mut().find(|l| l.number == number) {
+                    link.open -= 1;
+                    link.used = Instant::now();
+                    // A machine that vanished says nothing; a new connection to it will not come up, which
+                    // proves that nothing ran.
+                    link.retired |= silent;
+                    if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
+                        link.quit.push_back(id);
+                        link.quit.drain(..link.quit.len().saturating_sub(QUIT_IDS_MOST));
+                    }
+                }
+                self.end(key, outcome, answer).await;
+            }
+        }
+    }
+
+    /// Hands an execution to the least busy connection that may take it. False: there is none.
+    fn pass(&mut self, hands: &mut Hands, mut ask: Ask) -> bool {
+        let (key, id) = (ask.key.clone(), ask.passed.id.clone());
+        // A connection that broke a moment ago takes no orders; the next one may.
+        for _ in 0..=self.connections_most {
+            let usable = |l: &Held| !l.retired && l.open < self.streams && !l.quit.contains(&id);
+            let best = |links: &[Held]| {
+                let usable = links.iter().enumerate().filter(|(_, l)| usable(l));
+                usable.min_by_key(|(_, l)| (!l.up, l.open)).map(|(at, _)| at)
+            };
+            let found = best(&hands.links);
+            let crowded = found.is_none_or(|at| hands.links[at].open >= SHARED_FROM);
+            let connecting = hands.links.iter().any(|l| !l.up && !l.retired);
+            if found.is_none() || crowded && !connecting && hands.links.len() < self.connections_most {
+                // Past the bound only where no other can take it: silent ones still hold descriptors.
+                if hands.links.len() >= self.connections_most * 2 {
+                    return false;
+                }
+                self.open(hands);
+            }
+            let Some(link) = best(&hands.links).map(|at| &mut hands.links[at]) else { return false };
+            match link.orders.try_send(LinkOrder::Ask(ask)) {
+                Ok(()) => {
+                    link.open += 1;
+                    link.used = Instant::now();
+                    hands.out.insert(key, (link.number, id));
+                    return true;
+                }
+                Err(mpsc::error::TrySendError::Closed(LinkOrder::Ask(back))) => {
+                    link.retired = true;
+                    ask = back;
+                }
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    fn open(&self, hands: &mut Hands) {
+        hands.last += 1;
+        let (orders, receiver) = mpsc::channel(ORDERS_MOST);
+        let now = Instant::now();
+        let (number, quit) = (hands.last, VecDeque::new());
+        hands.links.push(Held {
+            number,
+            orders,
+            open: 0,
+            up: false,
+            made: now,
+            retired: false,
+            used: now,
+            quit,
+        });
+        let link = Link {
+            number,
+            dial: self.dial,
+            connect_timeout: self.connect_timeout,
+            orders: receiver,
+            server: self.orders_of_links.clone(),
+        };
+        log::debug!("{}: connection {number} to {}", self.name, self.dial);
+        spawn_local(link.run());
+    }
+}
--- a/crates/wirehost/src/main.rs
+++ b/crates/wirehost/src/main.rs
@@ -1,7 +1,6 @@
 //! `chalkhall-wirehost`: hosts routers on the simulator's wire, standard input to standard output.
-//! Framing and JSON here; settings in `start.rs`; no decision in either.
+//! Framing and JSON; no decision.
 
-mod start;
 mod wire;
 
 use std::io::{self, BufWriter, Write};
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -1,62 +1,15 @@
 //! Batches in, replies out: every event becomes a call on its router, every answer of a router a line.
 
-use crate::start;
 use chalkhall::control::Router;
 use chalkhall::interface::{
     Arrival, Ended, Fill, Id, ListKind, Load, Member, Outcome, Outlet, Remark, Standing, Tier,
 };
-use serde_json::{Map, Value, json};
+use chalkhall_deployment::{self as start, Fields, flag, ms, number, span, text, whole};
+use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
 use std::time::Duration;
 
-pub type Fields = Map<String, Value>;
-
-/// Milliseconds on the wire, spans inside.
-pub fn span(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms.max(0.0) / 1000.0).unwrap_or(Duration::MAX)
-}
-
-fn ms(span: Duration) -> f64 {
-    span.as_nanos() as f64 / 1e6
-}
-
-/// Any figure of a deployment is far below this; spans made of greater ones could not be added up.
-const GREATEST: f64 = 1e12;
-
-pub fn number(fields: &Fields, name: &str) -> Result<f64, String> {
-    match fields.get(name).map(Value::as_f64) {
-        _ if fields.get(name).is_none_or(Value::is_null) => Ok(0.0),
-        Some(Some(v)) if v.abs() <= GREATEST => Ok(v),
-        Some(Some(v)) => Err(format!("{name} is out of range: {v}")),
-        _ => Err(format!("{name} is not a number")),
-    }
-}
-
-pub fn whole(fields: &Fields, name: &str) -> Result<u64, String> {
-    match fields.get(name) {
-        None | Some(Value::Null) => Ok(0),
-        Some(v) => v
-            .as_u64()
-            .or_else(|| v.as_f64().filter(|f| *f >= 0.0 && f.fract() == 0.0).map(|f| f as u64))
-            .ok_or_else(|| format!("{name} is not a whole number")),
-    }
-}
-
-pub fn flag(fields: &Fields, name: &str) -> Result<bool, String> {
-    match fields.get(name) {
-        None | Some(Value::Null) => Ok(false),
-        Some(v) => v.as_bool().ok_or_else(|| format!("{name} is not true or false")),
-    }
-}
-
-pub fn text<'a>(fields: &'a Fields, name: &str) -> Result<&'a str, String> {
-    match fields.get(name) {
-        None | Some(Value::Null) => Ok(""),
-        Some(v) => v.as_str().ok_or_else(|| format!("{name} is not a text")),
-    }
-}
-
 fn id(fields: &Fields, name: &str) -> Result<Id, String> {
     match text(fields, name)? {
         "" => Err(format!("{name} is missing")),
