--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -30,7 +30,7 @@
     }
 
     /// A stamp of the system's clock, in milliseconds, as a span since the zero.
-    pub fn from_unix_ms(&self, ms: u64) -> Duration {
+    pub fn at_unix_ms(&self, ms: u64) -> Duration {
         Duration::from_millis(ms).saturating_sub(self.unix)
     }
 }
@@ -43,7 +43,7 @@
     fn stamps_before_the_start_keep_their_distance() {
         let clock = Clock::start();
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let minute_ago = clock.from_unix_ms(unix.as_millis() as u64 - 60_000);
+        let minute_ago = clock.at_unix_ms(unix.as_millis() as u64 - 60_000);
         let ago = clock.now() - minute_ago;
         assert!(ago >= Duration::from_secs(59) && ago <= Duration::from_secs(62), "{ago:?}");
         assert!(clock.instant(clock.now()) <= Instant::now());
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -47,7 +47,7 @@
 pub struct Ended {
     pub key: Key,
     pub outcome: Outcome,
-    pub answer: Option<Answer>,
+    pub answer: Option<Box<Answer>>,
 }
 
 /// The final answer of an access, for its client.
@@ -131,13 +131,13 @@
             log::warn!("an execution for {server}, which the list does not hold");
             return self.unsent.push_back(key);
         };
-        let ask = Ask {
+        let ask = Box::new(Ask {
             key: key.clone(),
             passed: taken.passed.clone(),
             line: ask(&taken.passed, server, limit, fill),
             due: self.clock.instant(self.now + limit),
             leave_by: self.clock.instant(self.now + self.leave_within),
-        };
+        });
         let (server, sent) = (post.orders.clone(), self.now);
         if server.try_send(Order::Ask(ask)).is_err() {
             self.unsent.push_back(key);
@@ -363,7 +363,7 @@
         let now = self.desk.clock.now();
         match notice {
             Notice::Purge { object, group, ms } => {
-                let ago = now.saturating_sub(self.desk.clock.from_unix_ms(ms));
+                let ago = now.saturating_sub(self.desk.clock.at_unix_ms(ms));
                 self.router.purged(now, object, group, ago);
             }
             Notice::List { whole, members } => {
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -31,7 +31,7 @@
 }
 
 pub enum LinkOrder {
-    Ask(Ask),
+    Ask(Box<Ask>),
     Quit(Key),
 }
 
@@ -51,12 +51,12 @@
 
 #[derive(Default)]
 struct State {
-    unwritten: VecDeque<Ask>,
+    unwritten: VecDeque<Box<Ask>>,
     /// By the id as the server sees it.
     out: HashMap<Bytes, Out>,
     writing: BytesMut,
     quits: VecDeque<Bytes>,
-    ended: VecDeque<(Key, Outcome, Option<Answer>, bool)>,
+    ended: VecDeque<(Key, Outcome, Option<Box<Answer>>, bool)>,
     heard: Option<Instant>,
 }
 
@@ -92,7 +92,7 @@
     fn expire(&mut self, now: Instant) {
         // Sent later than this it could reach a server after the grace of a drain or a purge told meanwhile.
         let late = |ask: &Ask| now >= ask.due.min(ask.leave_by);
-        while let Some(at) = self.unwritten.iter().position(late) {
+        while let Some(at) = self.unwritten.iter().position(|ask| late(ask)) {
             let ask = self.unwritten.remove(at);
             self.ended.extend(ask.map(|ask| (ask.key, Outcome::NeverSent, None, false)));
         }
@@ -124,7 +124,7 @@
     fn answer(&mut self, answer: Answer) {
         // Answers that crossed a QUIT come for nobody.
         let Some(out) = self.out.remove(&answer.id) else { return };
-        self.ended.push_back((out.key, answer.outcome, Some(answer), false));
+        self.ended.push_back((out.key, answer.outcome, Some(Box::new(answer)), false));
     }
 
     /// The connection is gone: what was written of may have run, the rest did not.
--- a/crates/router/src/notices.rs
+++ b/crates/router/src/notices.rs
@@ -69,7 +69,7 @@
             other => return Err(format!("unknown health {other:?}")),
         },
         capacity: entry.get("share").and_then(Value::as_f64).filter(|v| *v >= 0.0).unwrap_or(1.0),
-        started: whole("born_ms").filter(|ms| *ms > 0).map(|ms| clock.from_unix_ms(ms)),
+        started: whole("born_ms").filter(|ms| *ms > 0).map(|ms| clock.at_unix_ms(ms)),
     };
     Ok((member, dial.parse().map_err(|_| format!("dial {dial:?} is not an address"))?))
 }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -20,7 +20,7 @@
 const QUIT_IDS_MOST: usize = 256;
 
 pub enum Order {
-    Ask(Ask),
+    Ask(Box<Ask>),
     Quit(Key),
     /// The list tells of a start or an address: connections from before it lead elsewhere.
     Anew {
@@ -32,7 +32,7 @@
 
 pub enum Report {
     Up,
-    Ended { key: Key, outcome: Outcome, answer: Option<Answer>, silent: bool },
+    Ended { key: Key, outcome: Outcome, answer: Option<Box<Answer>>, silent: bool },
     Down,
 }
 
@@ -89,7 +89,7 @@
         }
     }
 
-    async fn end(&self, key: Key, outcome: Outcome, answer: Option<Answer>) {
+    async fn end(&self, key: Key, outcome: Outcome, answer: Option<Box<Answer>>) {
         let _ = self.decider.send(Message::Ended(Ended { key, outcome, answer })).await;
     }
 
@@ -137,7 +137,7 @@
     }
 
     /// Hands an execution to the least busy connection that may take it. False: there is none.
-    fn pass(&mut self, hands: &mut Hands, mut ask: Ask) -> bool {
+    fn pass(&mut self, hands: &mut Hands, mut ask: Box<Ask>) -> bool {
         let (key, id) = (ask.key.clone(), ask.passed.id.clone());
         // A connection that broke a moment ago takes no orders; the next one may.
         for _ in 0..=self.connections_most {
