The program tested between stand-ins on loopback; a link is called silent only after a connect's time

22 tests: hits, writes, copies that hold, order, declines, leaving, resets before and after writing, nonsense, silence, grace, idle close, reused addresses, board, purges, stopping, descriptors, slow readers, memory, faulty configuration. Seen in the first of them: a client's ABORT retired a sound connection on which nothing had been heard yet. Wrong line: link.rs, abandon: silence was any time at all; now at least the time a new connection may take.

--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -58,6 +58,7 @@
     quits: VecDeque<Bytes>,
     ended: VecDeque<(Key, Outcome, Option<Box<Answer>>, bool)>,
     heard: Option<Instant>,
+    patience: Duration,
 }
 
 impl State {
@@ -76,10 +77,11 @@
         }
     }
 
-    /// Gives up one that may have run. Where nothing was heard since it went out, the connection may be dead.
+    /// Gives up one that may have run. Where nothing was heard since it went out, for as long as a new connection
+    /// may take to come up, this one may be dead.
     fn abandon(&mut self, id: Bytes, outcome: Outcome) {
         let Some(out) = self.out.remove(&id) else { return };
-        let silent = self.heard.is_none_or(|heard| heard < out.sent);
+        let silent = self.heard.is_none_or(|heard| heard < out.sent) && out.sent.elapsed() >= self.patience;
         self.ended.push_back((out.key, outcome, None, silent));
         self.quits.push_back(quit(&id));
     }
@@ -136,7 +138,7 @@
 
 impl Link {
     pub async fn run(mut self) {
-        let mut state = State::default();
+        let mut state = State { patience: self.connect_timeout, ..State::default() };
         match self.connect(&mut state).await {
             Some(Ok(stream)) => {
                 self.report(Report::Up).await;
--- /dev/null
+++ b/crates/router/tests/program.rs
@@ -0,0 +1,497 @@
+//! The program on loopback, between stand-ins for all it talks to.
+
+mod stand_ins;
+
+use serde_json::json;
+use stand_ins::*;
+use std::io::Read;
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+fn bytes(length: usize) -> Vec<u8> {
+    (0..length).map(|n| (n * 31 % 251) as u8).collect()
+}
+
+#[test]
+fn a_hit_passes_unchanged() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    let id = client.ask(7, "page", "piece=3", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    assert_eq!((&asked.id, asked.get("item"), asked.get("chunk")), (&id, "0000000000000007", "3"));
+    assert_eq!((asked.get("cls"), asked.get("src"), asked.get("maxage")), ("page", "p1", "12000"));
+    assert!((3000..4000).contains(&asked.get("limit").parse::<u64>().unwrap()));
+    let object = bytes(240_000);
+    server.answer(&asked, "OK", "tell=hit,etag=4be0c1927d55a6f3,made=1", &object);
+    assert_eq!(client.answer(), (7, "ACK".into(), "ver=4be0c1927d55a6f3".into(), object));
+}
+
+#[test]
+fn a_write_goes_whole_to_the_origin() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    let body = bytes(48_000);
+    client.ask(1, "confirm", "", &body);
+    let mut origin = world.server("o1").accept();
+    let asked = origin.asked();
+    assert_eq!((asked.body == body, asked.get("src")), (true, ""));
+    origin.answer(&asked, "OK", "-", b"done");
+    assert_eq!(client.answer(), (1, "ACK".into(), "".into(), b"done".to_vec()));
+}
+
+#[test]
+fn a_copy_that_holds_is_not_sent_again() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "page", "ver=4be0c1927d55a6f3", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    assert_eq!(asked.get("have"), "4be0c1927d55a6f3");
+    server.answer(&asked, "SAME", "tell=hit,etag=4be0c1927d55a6f3", b"");
+    let (_, word, fields, body) = client.answer();
+    assert!(
+        word == "ACK" && fields.split(',').any(|f| f == "unchanged=1") && body.is_empty(),
+        "{word} {fields}"
+    );
+}
+
+#[test]
+fn answers_come_in_any_order_on_shared_connections() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    client.ask(2, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let (first, second) = (server.asked(), server.asked());
+    server.answer(&second, "OK", "tell=hit", b"two");
+    assert_eq!(client.answer(), (2, "ACK".into(), "".into(), b"two".to_vec()));
+    server.answer(&first, "OK", "tell=hit", b"one");
+    assert_eq!(client.answer(), (1, "ACK".into(), "".into(), b"one".to_vec()));
+}
+
+#[test]
+fn a_full_server_passes_the_access_on_and_a_miss_ends_it() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "confirm", "", b"");
+    let mut origin = world.server("o1").accept();
+    let asked = origin.asked();
+    origin.answer(&asked, "BUSY", "-", b"");
+    // It never ran there, so even what must not run twice goes another way.
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    assert_eq!((asked.get("cls"), asked.get("src")), ("confirm", "p1"));
+    server.answer(&asked, "MISS", "-", b"");
+    let (_, word, fields, _) = client.answer();
+    assert_eq!(word, "NAK");
+    assert!(fields.starts_with("w="), "{fields}");
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_executions_along() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    let id = client.ask(1, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    client.send(&[b"ABORT", b"1"]);
+    assert_eq!(server.line(), format!("QUIT {id}"));
+    server.answer(&asked, "OK", "tell=hit", b"late");
+    assert_eq!(client.health(), "GREEN", "no answer is owed");
+    let id = client.ask(2, "page", "", b"");
+    server.asked();
+    drop(client);
+    assert_eq!(server.line(), format!("QUIT {id}"));
+}
+
+#[test]
+fn what_was_refused_never_ran_and_what_broke_may_have() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "confirm", "", b"");
+    let mut origin = world.server("o1").accept();
+    origin.asked();
+    drop(origin);
+    assert_eq!(client.word(), "FAIL", "written, then broken: no second execution, no decline");
+    world.servers.retain(|s| s.name != "o1");
+    client.ask(2, "confirm", "", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    assert_eq!(asked.get("cls"), "confirm");
+    server.answer(&asked, "OK", "tell=via_origin", b"done");
+    assert_eq!(client.word(), "ACK");
+}
+
+#[test]
+fn nonsense_from_a_server_breaks_its_connection_only() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "confirm", "", b"");
+    let mut origin = world.server("o1").accept();
+    origin.asked();
+    origin.say("what is this\r\n");
+    assert_eq!(client.word(), "FAIL");
+    assert_eq!(origin.line(), "");
+    client.ask(2, "confirm", "", b"");
+    let mut origin = world.server("o1").accept();
+    let asked = origin.asked();
+    // No client named a copy here: that one holds proves nothing.
+    origin.answer(&asked, "SAME", "-", b"");
+    assert_eq!(client.word(), "FAIL");
+}
+
+#[test]
+fn silence_ends_in_time_and_its_connection_takes_nothing_new() {
+    let mut world = World::new();
+    let program = world.start();
+    let mut client = program.client();
+    let asked_at = Instant::now();
+    let id = client.ask(1, "page", "d=600", b"");
+    let mut silent = world.server("c1").accept();
+    silent.asked();
+    assert_eq!(client.word(), "NAK");
+    assert!(asked_at.elapsed() < Duration::from_millis(650), "{:?}", asked_at.elapsed());
+    assert_eq!(silent.line(), format!("QUIT {id}"));
+    assert_eq!(silent.line(), "", "nothing is out on it any more");
+    client.ask(2, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    server.answer(&asked, "OK", "tell=hit", b"back");
+    assert_eq!(client.word(), "ACK");
+}
+
+#[test]
+fn what_waits_past_the_grace_is_never_sent() {
+    let mut world = World::new();
+    world.file["settings"]["Limits"]["ConnectTimeout"] = json!(9000);
+    world.file["settings"]["Obligations"]["DrainGrace"] = json!(300);
+    let program = world.start();
+    let mut client = program.client();
+    let others = world.server("o1").vanish();
+    let begun = Instant::now();
+    client.ask(1, "confirm", "", b"");
+    // Reported never sent, so it may go another way.
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    assert!(begun.elapsed() >= Duration::from_millis(295), "{:?}", begun.elapsed());
+    server.answer(&asked, "OK", "tell=via_origin", b"done");
+    assert_eq!(client.word(), "ACK");
+    // When the server is back its connection comes up at last, and carries nothing.
+    let local: Vec<_> = others.iter().map(|o| o.local_addr().unwrap().port()).collect();
+    let mut own = loop {
+        let (stream, from) = world.server("o1").listener.accept().unwrap();
+        if !local.contains(&from.port()) {
+            break stream;
+        }
+    };
+    drop(program);
+    let mut came = Vec::new();
+    let _ = own.read_to_end(&mut came);
+    assert!(came.is_empty(), "{}", String::from_utf8_lossy(&came));
+}
+
+#[test]
+fn idle_connections_are_closed_before_the_server_does() {
+    let mut world = World::new();
+    world.file["settings"]["Limits"]["IdleClose"] = json!(300);
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    server.answer(&asked, "OK", "tell=hit", b"x");
+    assert_eq!(client.word(), "ACK");
+    assert_eq!(server.line(), "");
+}
+
+#[test]
+fn a_new_server_at_an_old_address_inherits_nothing() {
+    let mut world = World::new();
+    let program = world.start();
+    let (mut board, after) = world.board.accept();
+    assert_eq!(after, 1);
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    let mut old = world.server("c1").accept();
+    let first = old.asked();
+    let gone = world.server("c1").entry("left");
+    world.servers[0].name = "c2".into();
+    board.say(list(2, &[gone, world.server("c2").entry("active")]));
+    // Told once an access of the same object comes on a connection of its own.
+    let (mut tag, mut new) = (10, None);
+    world.server("c2").listener.set_nonblocking(true).unwrap();
+    until("a connection to the new server", || {
+        tag += 1;
+        client.ask(tag, "page", "", b"");
+        std::thread::sleep(Duration::from_millis(20));
+        new = world.server("c2").listener.accept().ok();
+        new.is_some()
+    });
+    let (stream, _) = new.unwrap();
+    stream.set_nonblocking(false).unwrap();
+    let mut new = Line::new(stream);
+    let second = new.asked();
+    old.say(format!("{} OK tell=hit 3\r\nold\r\n", second.id));
+    old.answer(&first, "OK", "tell=hit", b"first");
+    assert_eq!(client.answer().3, b"first", "what was out at the old one still ends");
+    new.answer(&second, "OK", "tell=hit", b"new");
+    assert_eq!(client.answer(), (tag, "ACK".into(), "".into(), b"new".to_vec()));
+}
+
+#[test]
+fn the_board_is_followed_without_gaps() {
+    let mut world = World::new();
+    world.servers.push(Server::new("c2", "cache"));
+    let program = world.start();
+    let (mut board, after) = world.board.accept();
+    assert_eq!(after, 1);
+    board.say(list(2, &[world.server("c1").entry("leaving")]));
+    drop(board);
+    let (mut board, after) = world.board.accept();
+    assert_eq!(after, 2, "after a break");
+    // One that came before, then one past a gap.
+    board.say(list(2, &[world.server("c1").entry("active")]));
+    board.say(list(4, &[]));
+    let (mut board, after) = world.board.accept();
+    assert_eq!(after, 2, "after a gap");
+    board.say("7\n");
+    let (mut board, after) = world.board.accept();
+    assert_eq!(after, 2, "after a number ahead");
+    board.say("{nonsense\n");
+    let (mut board, after) = world.board.accept();
+    assert_eq!(after, 2, "after nonsense");
+    board.say("2\n");
+    let mut client = program.client();
+    // All go to the cache that does not drain, whichever the hash would take.
+    for tag in 1..=8 {
+        client.ask(tag, "page", "", b"");
+    }
+    let mut server = world.server("c2").accept();
+    for _ in 1..=4 {
+        let asked = server.asked();
+        server.answer(&asked, "OK", "tell=hit", b"x");
+    }
+}
+
+#[test]
+fn a_silent_board_is_watched_anew() {
+    let mut world = World::new();
+    let _program = world.start();
+    let (_silent, _) = world.board.accept();
+    assert_eq!(world.board.accept().1, 1);
+}
+
+#[test]
+fn a_purge_bounds_the_age_of_copies() {
+    let mut world = World::new();
+    let program = world.start();
+    let (mut board, _) = world.board.accept();
+    let purged = unix_ms();
+    board.say(format!("{}\n", json!({"rev": 2, "flush": {"collection": 1, "ms": purged}})));
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let (mut tag, mut asked) = (1, server.asked());
+    until("the purge", || {
+        server.answer(&asked, "OK", "tell=hit", b"x");
+        assert_eq!(client.word(), "ACK");
+        tag += 1;
+        client.ask(tag, "page", "", b"");
+        asked = server.asked();
+        asked.get("maxage") != "12000"
+    });
+    let oldest: u64 = asked.get("maxage").parse().unwrap();
+    assert!(oldest > 0 && unix_ms() - oldest >= purged, "{oldest}");
+}
+
+#[test]
+fn a_request_to_stop_loses_nothing() {
+    let mut world = World::new();
+    let mut program = world.start();
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let first = server.asked();
+    program.terminate();
+    until("RED", || program.client().health() == "RED");
+    let mut later = program.client();
+    later.ask(2, "page", "", b"");
+    let second = server.asked();
+    server.answer(&second, "OK", "tell=hit", b"two");
+    assert_eq!(later.word(), "ACK");
+    // The last answer is large, and its client slow to read it.
+    let object = bytes(240_000);
+    server.answer(&first, "OK", "tell=hit", &object);
+    assert_eq!(client.answer().3, object);
+    let (status, log) = program.ended();
+    assert!(status.success(), "{log}");
+}
+
+#[test]
+fn what_is_open_when_time_runs_out_is_given_up() {
+    let mut world = World::new();
+    let mut program = world.start();
+    let mut client = program.client();
+    client.ask(1, "page", "d=60000", b"");
+    let mut server = world.server("c1").accept();
+    server.asked();
+    let asked = Instant::now();
+    program.terminate();
+    let word = client.word();
+    assert!(word == "FAIL" || word == "NAK", "{word}");
+    assert!(asked.elapsed() < Duration::from_millis(3700), "{:?}", asked.elapsed());
+    assert!(program.ended().0.success());
+}
+
+#[test]
+fn nonsense_from_a_client_meets_an_answer_or_a_close() {
+    let mut world = World::new();
+    let program = world.start();
+    let (mut client, id) = (program.client(), "00000000000000aa");
+    let faulty = [
+        ("nowhere", format!("i={id},o={id},d=900")),
+        ("page", format!("i=short,o={id},d=900")),
+        ("page", format!("i={id},o=not hex digits!!,d=900")),
+        ("page", format!("i={id},o={id},d=0")),
+        ("page", format!("i={id},o={id}")),
+        ("page", format!("i={id},o={id},d=soon")),
+        ("page", format!("i={id},o={id},d=900,m=-1")),
+    ];
+    for (tag, (category, fields)) in (1..).zip(&faulty) {
+        client.send(&[b"REQ", tag.to_string().as_bytes(), category.as_bytes(), fields.as_bytes(), b""]);
+        assert_eq!(client.answer(), (tag, "FAIL".into(), "".into(), vec![]), "{category} {fields}");
+    }
+    client.send(&[b"WHAT", b"8"]);
+    assert_eq!(client.word(), "FAIL");
+    for bad in ["*1\r\n$99999999\r\n", "PING\r\n", "*2\r\n$3\r\nREQ\r\n$1\r\nx\r\n"] {
+        let mut other = program.client();
+        other.write(bad.as_bytes());
+        assert!(other.closed(), "{bad:?}");
+    }
+    assert_eq!(client.health(), "GREEN", "the others are untouched");
+    // A tag and an id that are in use.
+    let id = client.ask(20, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    client.ask(20, "page", "", b"");
+    assert_eq!(client.word(), "FAIL");
+    client.send(&[b"REQ", b"21", b"page", format!("i={id},o={id},d=900").as_bytes(), b""]);
+    assert_eq!(client.answer().1, "FAIL");
+    server.answer(&asked, "OK", "tell=hit", b"x");
+    assert_eq!(client.answer(), (20, "ACK".into(), "".into(), b"x".to_vec()));
+}
+
+#[test]
+fn a_slow_reader_stalls_nobody_and_gets_all() {
+    let mut world = World::new();
+    let program = world.start();
+    let (mut slow, mut quick) = (program.client(), program.client());
+    slow.ask(1, "page", "", b"");
+    let mut server = world.server("c1").accept();
+    let object = bytes(240_000);
+    for tag in 1..=32 {
+        let asked = server.asked();
+        server.answer(&asked, "OK", "tell=hit", &object);
+        if tag < 32 {
+            slow.ask(tag + 1, "page", "", b"");
+        }
+    }
+    quick.ask(1, "page", "", b"");
+    let asked = server.asked();
+    server.answer(&asked, "OK", "tell=hit", b"x");
+    assert_eq!(quick.word(), "ACK");
+    for tag in 1..=32 {
+        let (of, word, _, body) = slow.answer();
+        assert!((of, word.as_str()) == (tag, "ACK") && body == object, "answer {tag}");
+    }
+}
+
+#[test]
+fn bodies_past_the_memory_are_declined_at_the_door() {
+    let mut world = World::new();
+    world.file["limits"]["memory_mb"] = json!(1);
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    client.ask(2, "page", "", b"");
+    client.ask(3, "page", "", b"");
+    assert_eq!(client.answer(), (3, "NAK".into(), "".into(), vec![]));
+    let mut server = world.server("c1").accept();
+    for tag in [1, 2] {
+        let asked = server.asked();
+        server.answer(&asked, "OK", "tell=hit", &bytes(240_000));
+        assert_eq!(client.answer().0, tag);
+    }
+    client.ask(4, "page", "", b"");
+    let asked = server.asked();
+    server.answer(&asked, "OK", "tell=hit", b"x");
+    assert_eq!(client.word(), "ACK", "what has been written takes no place any more");
+}
+
+#[test]
+fn clients_past_the_descriptors_wait_and_the_rest_are_served() {
+    for limits in ["ulimit -n 40;", ""] {
+        let mut world = World::new();
+        world.file["limits"]["sockets"] = json!(if limits.is_empty() { 64 } else { 1024 });
+        let program = world.spawn(limits);
+        until("GREEN", || program.connect().is_some_and(|mut client| client.health() == "GREEN"));
+        let mut clients: Vec<Client> = (0..60).map(|_| program.client()).collect();
+        assert_eq!(clients[0].health(), "GREEN");
+        // The last has not been taken; it is when others go.
+        let mut last = clients.pop().unwrap();
+        last.send(&[b"HEALTH", b"1", b""]);
+        drop(clients);
+        assert_eq!(last.word(), "GREEN");
+        last.ask(2, "page", "", b"");
+        let mut server = world.server("c1").accept();
+        let asked = server.asked();
+        server.answer(&asked, "OK", "tell=hit", b"x");
+        assert_eq!(last.word(), "ACK");
+    }
+}
+
+#[test]
+fn what_is_told_wrongly_is_named() {
+    let wrong = [
+        ("/listen", json!("nowhere"), "listen"),
+        ("/board", json!(null), "board"),
+        ("/board", json!("nowhere"), "board"),
+        ("/seed", json!("not hex"), "seed"),
+        ("/limits/sockets", json!(10), "sockets"),
+        ("/limits/memory_mb", json!("much"), "memory_mb"),
+        ("/settings", json!(null), "settings"),
+        ("/settings/Classes", json!([]), "Classes"),
+        ("/settings/Classes/0/Effect", json!("odd"), "Effect"),
+        ("/settings/Obligations/DrainGrace", json!("long"), "DrainGrace"),
+        ("/settings/Limits/ConnectTimeout", json!([]), "ConnectTimeout"),
+        ("/settings/FamilyInfo", json!(3), "FamilyInfo"),
+        ("/settings/Zones", json!([1]), "Zones"),
+        ("/known", json!(7), "known"),
+        ("/known/notices", json!(null), "notices"),
+        ("/known/notices/0/pool/hosts/0/dial", json!("x"), "dial"),
+    ];
+    for (at, value, named) in wrong {
+        let mut world = World::new();
+        let entries: Vec<_> = world.servers.iter().map(|s| s.entry("active")).collect();
+        world.file["known"] =
+            json!({"rev": 1, "notices": [{"rev": 1, "pool": {"whole": true, "hosts": entries}}]});
+        *world.file.pointer_mut(at).unwrap_or_else(|| panic!("{at}")) = value;
+        let (status, log) = world.spawn("").ended();
+        assert!(!status.success(), "{at}");
+        let last = log.lines().last().unwrap_or_default();
+        assert!(last.starts_with("chalkhall-router: ") && last.contains(named), "{at}: {log}");
+    }
+    let mut world = World::new();
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    world.file["listen"] = json!(taken.local_addr().unwrap().to_string());
+    assert!(world.spawn("").ended().1.contains("listen"));
+}
--- /dev/null
+++ b/crates/router/tests/stand_ins/mod.rs
@@ -0,0 +1,341 @@
+//! Stand-ins for what a router talks to, over loopback: a client, a server (cache server, parent or origin) and
+//! the notice board; and the program itself. Every wait ends with what it waits for, or fails the test.
+
+use serde_json::{Value, json};
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread::sleep;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Nothing that a test waits for takes nearly as long.
+pub const LONG: Duration = Duration::from_secs(10);
+const SHORT: Duration = Duration::from_millis(5);
+
+pub fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Tries until it comes true.
+pub fn until(what: &str, mut come: impl FnMut() -> bool) {
+    let end = Instant::now() + LONG;
+    while !come() {
+        assert!(Instant::now() < end, "{what}: did not come");
+        sleep(SHORT);
+    }
+}
+
+fn accept(listener: &TcpListener) -> TcpStream {
+    listener.set_nonblocking(true).unwrap();
+    let mut taken = None;
+    until("a connection", || {
+        taken = listener.accept().ok();
+        taken.is_some()
+    });
+    let stream = taken.unwrap().0;
+    stream.set_nonblocking(false).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream
+}
+
+/// One connection with lines of words: a server's or the board's end of it.
+pub struct Line {
+    reader: BufReader<TcpStream>,
+}
+
+impl Line {
+    pub fn new(stream: TcpStream) -> Line {
+        Line { reader: BufReader::new(stream) }
+    }
+
+    /// The next line; empty at the end of the connection.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        match self.reader.read_line(&mut line) {
+            Err(e) if e.kind() != std::io::ErrorKind::ConnectionReset => panic!("no line came: {e}"),
+            _ => line.trim_end().to_owned(),
+        }
+    }
+
+    pub fn say(&mut self, text: impl AsRef<[u8]>) {
+        self.reader.get_mut().write_all(text.as_ref()).unwrap();
+    }
+
+    pub fn asked(&mut self) -> Asked {
+        let line = self.line();
+        let words: Vec<&str> = line.split(' ').collect();
+        assert!(words.len() == 4 && words[0] == "ASK", "not a request: {line:?}");
+        let fields = words[2].split(',').filter_map(|f| f.split_once('='));
+        let fields = fields.map(|(name, value)| (name.to_owned(), value.to_owned())).collect();
+        let mut body = vec![0; words[3].parse::<usize>().unwrap() + 2];
+        self.reader.read_exact(&mut body).unwrap();
+        assert_eq!(body.split_off(body.len() - 2), b"\r\n");
+        Asked { id: words[1].to_owned(), fields, body }
+    }
+
+    pub fn answer(&mut self, asked: &Asked, word: &str, fields: &str, body: &[u8]) {
+        self.say(
+            [format!("{} {word} {fields} {}\r\n", asked.id, body.len()).as_bytes(), body, b"\r\n"].concat(),
+        );
+    }
+}
+
+pub struct Asked {
+    pub id: String,
+    pub fields: HashMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Asked {
+    pub fn get(&self, name: &str) -> &str {
+        self.fields.get(name).map_or("", String::as_str)
+    }
+}
+
+pub struct Server {
+    pub name: String,
+    kind: &'static str,
+    pub listener: TcpListener,
+    pub dial: SocketAddr,
+}
+
+impl Server {
+    pub fn new(name: &str, kind: &'static str) -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let dial = listener.local_addr().unwrap();
+        Server { name: name.to_owned(), kind, listener, dial }
+    }
+
+    pub fn entry(&self, health: &str) -> Value {
+        json!({"host": self.name, "dial": self.dial.to_string(), "site": "here", "class": self.kind, "block": 0,
+            "health": health, "share": 4, "born_ms": 0})
+    }
+
+    pub fn accept(&self) -> Line {
+        Line::new(accept(&self.listener))
+    }
+
+    /// Fills the queue of connections that nobody takes: further ones do not come up.
+    pub fn vanish(&self) -> Vec<TcpStream> {
+        let reach = |_: &u32| TcpStream::connect_timeout(&self.dial, Duration::from_millis(200)).ok();
+        (0..8192).map_while(|n| reach(&n)).collect()
+    }
+}
+
+pub struct Board {
+    listener: TcpListener,
+}
+
+impl Board {
+    /// The router's connection, and after which event it watches.
+    pub fn accept(&self) -> (Line, u64) {
+        let mut line = Line::new(accept(&self.listener));
+        let watch = line.line();
+        let after = watch.strip_prefix("watch ").and_then(|n| n.parse().ok());
+        (line, after.unwrap_or_else(|| panic!("not a watch: {watch:?}")))
+    }
+}
+
+pub fn list(number: u64, entries: &[Value]) -> String {
+    format!("{}\n", json!({"rev": number, "pool": {"seq": number, "whole": false, "hosts": entries}}))
+}
+
+pub struct Client {
+    reader: BufReader<TcpStream>,
+}
+
+/// A final answer: its tag, word, fields and body.
+pub type Answer = (u64, String, String, Vec<u8>);
+
+impl Client {
+    pub fn send(&mut self, parts: &[&[u8]]) {
+        let mut bytes = format!("*{}\r\n", parts.len()).into_bytes();
+        for part in parts {
+            bytes.extend([format!("${}\r\n", part.len()).as_bytes(), part, b"\r\n"].concat());
+        }
+        self.write(&bytes);
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.reader.get_mut().write_all(bytes).unwrap();
+    }
+
+    /// Asks for the object of the same number as the tag.
+    pub fn ask(&mut self, tag: u64, category: &str, more: &str, body: &[u8]) -> String {
+        static LAST: AtomicU32 = AtomicU32::new(0);
+        let id = format!("{:016x}", LAST.fetch_add(1, Ordering::Relaxed));
+        let fields =
+            format!("i={id},o={tag:016x},lot=1,m=10.5{}{more}", if more.is_empty() { "" } else { "," });
+        let fields = if more.contains("d=") { fields } else { format!("{fields},d=4000") };
+        self.send(&[b"REQ", tag.to_string().as_bytes(), category.as_bytes(), fields.as_bytes(), body]);
+        id
+    }
+
+    pub fn answer(&mut self) -> Answer {
+        let mut line = |sign: char| {
+            let mut line = String::new();
+            self.reader.read_line(&mut line).unwrap();
+            line.trim_end()
+                .strip_prefix(sign)
+                .and_then(|n| n.parse().ok())
+                .unwrap_or_else(|| panic!("{line:?}"))
+        };
+        let parts: usize = line('*');
+        let mut read = Vec::new();
+        for _ in 0..parts {
+            let mut part = vec![0; self.length() + 2];
+            self.reader.read_exact(&mut part).unwrap();
+            part.truncate(part.len() - 2);
+            read.push(part);
+        }
+        let text = |part: &Vec<u8>| String::from_utf8(part.clone()).unwrap();
+        (text(&read[0]).parse().unwrap(), text(&read[1]), text(&read[2]), read[3].clone())
+    }
+
+    fn length(&mut self) -> usize {
+        let mut line = String::new();
+        self.reader.read_line(&mut line).unwrap();
+        line.trim_end().strip_prefix('$').unwrap().parse().unwrap()
+    }
+
+    pub fn word(&mut self) -> String {
+        self.answer().1
+    }
+
+    /// True when the router has closed the connection.
+    pub fn closed(&mut self) -> bool {
+        let mut rest = Vec::new();
+        match self.reader.read_to_end(&mut rest) {
+            Ok(_) => true,
+            Err(e) => e.kind() == std::io::ErrorKind::ConnectionReset,
+        }
+    }
+
+    pub fn health(&mut self) -> String {
+        self.send(&[b"HEALTH", b"1000", b""]);
+        self.word()
+    }
+}
+
+/// What the program is told; a test changes it before the start.
+pub struct World {
+    pub board: Board,
+    pub servers: Vec<Server>,
+    pub file: Value,
+    listen: SocketAddr,
+    dir: PathBuf,
+}
+
+impl World {
+    /// A cache server `c1`, a parent `p1` and the origin `o1`.
+    pub fn new() -> World {
+        let servers =
+            vec![Server::new("c1", "cache"), Server::new("p1", "parent"), Server::new("o1", "origin")];
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let board = listener.local_addr().unwrap();
+        let free = TcpListener::bind("127.0.0.1:0").unwrap();
+        let listen = free.local_addr().unwrap();
+        static LAST: AtomicU32 = AtomicU32::new(0);
+        let name =
+            format!("chalkhall-router-{}-{}", std::process::id(), LAST.fetch_add(1, Ordering::Relaxed));
+        let dir = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&dir).unwrap();
+        let class = |name: &str, effect: &str| {
+            json!({"Name": name, "Effect": effect, "Group": "all", "Window": 5000, "Aim": 3000, "AimStretch": 2,
+                "HardLimit": 5000, "Worth": 1, "LateWorth": 0.1, "Stream": false})
+        };
+        let settings = json!({
+            "Classes": [class("page", "pure"), class("confirm", "side_effect")],
+            "FamilyInfo": {"ClassFresh": [12000, 0], "ClassWrite": [false, true], "ClientKbPerS": 8800,
+                "CrewByZone": [1], "HomeHub": [0], "ObeyAfter": 500, "PassThroughOk": true, "ParentFloor": 0.1,
+                "ParentRamp": 20000, "ParentFallMultiple": 2, "PurgeDone": 6000, "Says": "all", "ShieldKind": 1,
+                "SourceKind": 2},
+            "Granularity": 2, "Kinds": ["cache", "parent", "origin"],
+            "Limits": {"ConnectTimeout": 400, "IdleClose": 30000, "MaxAttempts": 8, "MaxOpen": 20000,
+                "MaxRetryAfter": 500, "MayCancel": true, "RetryAfter": true, "StreamsPerConn": 100},
+            "Locality": 0, "MyNumber": 0, "PeersTotal": 1, "RegistryMode": "push", "Zones": ["here"],
+            "Obligations": {"AnswerSlack": 8, "ColdFrom": 0.3, "DrainGrace": 500, "Fall": 1000, "TipMultiple": 2,
+                "WarmWithin": 17000}});
+        let file = json!({"name": "n1", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024}, "board": board.to_string(),
+            "known": null, "settings": settings});
+        World { board: Board { listener }, servers, file, listen, dir }
+    }
+
+    pub fn server(&self, name: &str) -> &Server {
+        self.servers.iter().find(|s| s.name == name).unwrap()
+    }
+
+    /// Starts the program, within the shell's limits where they are given.
+    pub fn spawn(&mut self, limits: &str) -> Program {
+        if self.file["known"].is_null() {
+            let entries: Vec<Value> = self.servers.iter().map(|s| s.entry("active")).collect();
+            let first = json!({"rev": 1, "pool": {"seq": 1, "whole": true, "hosts": entries}});
+            self.file["known"] = json!({"rev": 1, "notices": [first]});
+        }
+        let path = self.dir.join("told.json");
+        std::fs::write(&path, self.file.to_string()).unwrap();
+        let run = format!("{limits} exec {}", env!("CARGO_BIN_EXE_chalkhall-router"));
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &run]).env("ROUTER_CONFIG", &path);
+        let child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+        Program { child, listen: self.listen }
+    }
+
+    /// Starts the program and waits until it is ready.
+    pub fn start(&mut self) -> Program {
+        let program = self.spawn("");
+        until("GREEN", || program.connect().is_some_and(|mut client| client.health() == "GREEN"));
+        program
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+pub struct Program {
+    pub child: Child,
+    listen: SocketAddr,
+}
+
+impl Program {
+    pub fn connect(&self) -> Option<Client> {
+        let stream = TcpStream::connect(self.listen).ok()?;
+        stream.set_read_timeout(Some(LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Some(Client { reader: BufReader::new(stream) })
+    }
+
+    pub fn client(&self) -> Client {
+        self.connect().expect("the program listens")
+    }
+
+    pub fn terminate(&self) {
+        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {}", self.child.id())]).status();
+        assert!(sent.unwrap().success());
+    }
+
+    pub fn ended(&mut self) -> (ExitStatus, String) {
+        let mut status = None;
+        until("the program's end", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        let mut text = String::new();
+        self.child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        (status.unwrap(), text)
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
