A late fill cuts the limit only where more than one in twenty are late

Cause: with some 250 fills ending in 250 ms one is always late, mostly of a large object, and each time the limit fell to 0.8, while all in time together let it grow by two. Wrong line: fill_ended, the cut. Ruled out: links (no price, fills quick at the median), servers (17 errors, no time-outs). Where few fills end within 250 ms any late one cuts as before. Could hurt where a link fills up so slowly that for a while less than one in twenty are late.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+# The commands of `.ci/run` and the README, by name.
+.PHONY: build test lint run
+
+build:
+	cargo build --release --locked
+
+test:
+	cargo test --workspace --locked
+
+lint:
+	cargo fmt --all --check
+	cargo clippy --workspace --all-targets --locked -- -D warnings
+
+# One router: make run ROUTER_CONFIG=docs/example.json
+run: build
+	ROUTER_CONFIG=$(ROUTER_CONFIG) exec target/release/chalkhall-router
--- a/src/control.rs
+++ b/src/control.rs
@@ -39,9 +39,10 @@
 /// A hit that takes this multiple of its usual counts as failed.
 const SLOW_HIT: f64 = 2.0;
 
-/// Fills under way: one more allowed for as many as end in time, a cut at most this often when one is late.
+/// Fills under way: one more allowed for as many as end in time; a cut, so often, when over a share are late.
 const FILL_CUT: f64 = 0.8;
 const FILL_GROW: f64 = 0.02;
+const FILL_LATE: f64 = 0.05;
 const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
 const FILLS_LEAST: f64 = 1.0;
 /// The wait that a declined client is advised; that before the list is asked for again.
@@ -178,7 +179,7 @@
             Some((_, spacing)) => spacing / 2,
         };
         self.aside = (spacing >= TRICKLE_FULL).then_some((now + spacing, spacing));
-        self.doubt *= f64::from(u8::from(self.aside.is_some()));
+        self.doubt *= f64::from(self.aside.is_some());
     }
 }
 
@@ -242,10 +243,11 @@
     purges: HashMap<Result<Id, u64>, Duration>,
     /// By category: mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
-    /// Executions out that are likely to be fills, how many may be, when that was last cut, who waits.
+    /// Likely fills out, how many may be, the last cut; when one last ended, how many lately, and how many late.
     fills_out: f64,
     fills_most: f64,
     fills_cut: Duration,
+    fills_lately: (Duration, f64, f64),
     patience: f64,
     waiting: Vec<Id>,
 }
@@ -284,8 +286,7 @@
     pub fn list(&mut self, now: Duration, kind: ListKind, members: &[Member], out: &mut dyn Outlet) {
         if kind == ListKind::Failed {
             // Without a subscription a drain would never be heard of.
-            let turn = &mut Turn { now, out };
-            return self.after(turn, LIST_AGAIN, Box::new(|_, turn| turn.out.watch_list()));
+            return self.after(&mut Turn { now, out }, LIST_AGAIN, Box::new(|_, turn| turn.out.watch_list()));
         }
         if kind != ListKind::Changes {
             self.servers.values_mut().for_each(|s| s.member.standing = Standing::Gone);
@@ -407,11 +408,16 @@
 
     /// A fill ended: how many may be out follows, and those that wait go, most benefit for the work first.
     fn fill_ended(&mut self, turn: &mut Turn, in_time: Option<bool>) {
-        let in_use = self.fills_out >= self.fills_most / 2.0;
-        self.fills_out -= 1.0;
-        if in_time == Some(true) && in_use {
+        if in_time == Some(true) && self.fills_out >= self.fills_most / 2.0 {
             self.fills_most += (FILL_GROW * self.fills_most).min(1.0 / self.fills_most);
-        } else if in_time == Some(false) && turn.now >= self.fills_cut + FILL_CUT_EVERY {
+        }
+        self.fills_out -= 1.0;
+        // At high rates some fill is always late, of a large object perhaps: a cut for each would choke all.
+        let (last, ended, late) = self.fills_lately;
+        let fades = (-(turn.now - last).div_duration_f64(FILL_CUT_EVERY)).exp();
+        let (ended, late) = (ended * fades + 1.0, late * fades + f64::from(in_time == Some(false)));
+        self.fills_lately = (turn.now, ended, late);
+        if in_time == Some(false) && late > FILL_LATE * ended && turn.now >= self.fills_cut + FILL_CUT_EVERY {
             self.fills_most = (self.fills_most * FILL_CUT).max(FILLS_LEAST);
             self.fills_cut = turn.now;
         }
@@ -469,10 +475,7 @@
         }
         match pick(Tier::Cache, false).or_else(|| pick(Tier::Cache, true)) {
             // With no source left the cache itself is named: a plain send could bring a copy purged since.
-            Some(cache) => {
-                let source = source().unwrap_or(cache);
-                Some(Route { server: name(cache), source: name(source) })
-            }
+            Some(cache) => Some(Route { server: name(cache), source: name(source().unwrap_or(cache)) }),
             None if self.pass_through => source().map(straight),
             None => None,
         }
@@ -581,7 +584,7 @@
             server.aside = server.aside.map(|(_, spacing)| (now + spacing, spacing));
         }
         turn.out.execute(id, &route.server, limit, &fill);
-        self.fills_out += f64::from(u8::from(filling));
+        self.fills_out += f64::from(filling);
         let Some(access) = self.accesses.get_mut(id) else { return false };
         access.open += 1;
         let n = access.executions.len();
@@ -603,7 +606,7 @@
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
         // A copy would have been sent by now: it is being filled after all.
         let filling = std::mem::replace(&mut execution.filling, true);
-        self.fills_out += f64::from(u8::from(!filling));
+        self.fills_out += f64::from(!filling);
         for name in route.ends() {
             if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
                 server.judge(turn.now, true, 1.0);
@@ -646,12 +649,9 @@
             server.kb_under_way = (server.kb_under_way - kb).max(0.0);
             server.out = server.out.saturating_sub(1);
 
-            if !silent && (*name == route.server || filled) {
-                server.heard = now;
-            }
-            if filled {
-                server.in_time += (f64::from(u8::from(!late)) - server.in_time) / 16.0;
-            }
+            let heard = !silent && (*name == route.server || filled);
+            server.heard = if heard { now } else { server.heard };
+            server.in_time += f64::from(filled) * (f64::from(!late) - server.in_time) / 16.0;
             if weight > 0.0 {
                 let late = late_hit || late && server.member.tier != Tier::Cache;
                 server.judge(now, failed || late, weight);
@@ -668,7 +668,7 @@
         }
         self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
         if access.first {
-            self.shared += (f64::from(u8::from(hit)) - self.shared) / SIGHTINGS_BEFORE_GATE as f64;
+            self.shared += (f64::from(hit) - self.shared) / SIGHTINGS_BEFORE_GATE as f64;
         }
         if let Some(seen) = self.ids.known(&access.arrival) {
             seen.held = (hit || rank > 0).then(|| (route.server.clone(), now));
