--- a/src/control.rs
+++ b/src/control.rs
@@ -42,7 +42,7 @@
 /// Fills under way: one more allowed for as many as end in time; a cut, so often, when over a share are late.
 const FILL_CUT: f64 = 0.8;
 const FILL_GROW: f64 = 0.02;
-const FILL_LATE: f64 = 0.05;
+const FILL_LATE: f64 = 0.03;
 const FILL_CUT_EVERY: Duration = Duration::from_millis(250);
 const FILLS_LEAST: f64 = 1.0;
 /// The wait that a declined client is advised; that before the list is asked for again.
