--- a/crates/router/src/board.rs
+++ b/crates/router/src/board.rs
@@ -23,6 +23,8 @@
 pub struct Board {
     pub address: SocketAddr,
     pub last: u64,
+    /// An event that could not be read: watched for once more, then passed over, lest it hide all after it.
+    pub faulty: Option<u64>,
     pub places: Places,
     pub clock: Clock,
     pub decider: mpsc::Sender<Message>,
@@ -79,7 +81,17 @@
         if number > self.last + 1 {
             return Err(format!("event {number} after {}", self.last));
         }
-        let (_, notice) = numbered(&value, &self.places, &self.clock)?;
+        let notice = match numbered(&value, &self.places, &self.clock) {
+            Ok((_, notice)) => notice,
+            Err(what) if self.faulty == Some(number) => {
+                log::warn!("notice board: event {number} is passed over: {what}");
+                None
+            }
+            Err(what) => {
+                self.faulty = Some(number);
+                return Err(what);
+            }
+        };
         self.last = number;
         if let Some(notice) = notice {
             self.decider.send(Message::Notice(notice)).await.map_err(|_| "the router has ended")?;
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -20,6 +20,10 @@
 const OPEN_MOST: usize = 32;
 /// Answers to one connection that wait to be written; nothing more is read from it while there are more.
 const UNWRITTEN_MOST: usize = 2 * OPEN_MOST;
+/// A mailbox that holds an answer to each open access, and to those given up while it was not looked into.
+const REPLIES_MOST: usize = 4 * OPEN_MOST;
+/// No access waits for longer, whatever its client says: its timers would pile up.
+const WAIT_MOST: Duration = Duration::from_secs(60);
 /// A connection that takes no byte of its answers for this long is closed, and one that is idle for this long.
 const STUCK: Duration = Duration::from_secs(6);
 const IDLE: Duration = Duration::from_secs(30);
@@ -72,9 +76,15 @@
     pub async fn run(mut self, stream: TcpStream) {
         let mut open = HashMap::new();
         let mut unwritten = Unwritten::default();
-        if let Err(what) = self.serve(stream, &mut open, &mut unwritten).await {
+        let (replies, mut mailbox) = mpsc::channel(REPLIES_MOST);
+        if let Err(what) = self.serve(stream, replies, &mut mailbox, &mut open, &mut unwritten).await {
             log::debug!("client: {what}");
         }
+        // Bodies that nobody will read take no place any more.
+        mailbox.close();
+        while let Some(reply) = mailbox.recv().await {
+            say(reply, &mut open, &mut unwritten);
+        }
         for id in open.into_values() {
             let _ = self.decider.send(Message::Left(id)).await;
         }
@@ -84,13 +94,13 @@
     async fn serve(
         &mut self,
         mut stream: TcpStream,
+        replies: mpsc::Sender<Reply>,
+        mailbox: &mut mpsc::Receiver<Reply>,
         open: &mut HashMap<u64, Id>,
         unwritten: &mut Unwritten,
     ) -> Result<(), String> {
         stream.set_nodelay(true).map_err(|e| e.to_string())?;
         let (mut reader, mut writer) = stream.split();
-        // A mailbox that holds an answer to each open access is never full.
-        let (replies, mut mailbox) = mpsc::channel(UNWRITTEN_MOST);
         let (mut buffer, mut frames) = (BytesMut::with_capacity(READ_AT_ONCE), Frames::default());
         let (mut moved, mut phase) = (Instant::now(), self.phase.clone());
         let mut ended = *self.phase.borrow() == Phase::Ended;
@@ -196,7 +206,7 @@
             match name {
                 b"i" => (arrival.id, passed.id) = (hex(&value)?, value),
                 b"o" => (arrival.object, passed.object) = (hex(&value)?, value),
-                b"d" => arrival.left = Duration::from_millis(digits()?),
+                b"d" => arrival.left = Duration::from_millis(digits()?).min(WAIT_MOST),
                 b"piece" => (arrival.part, passed.part) = (digits()?, value),
                 b"lot" => arrival.group = digits()?,
                 b"t" => arrival.customer = digits()? as usize,
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -26,7 +26,9 @@
     }
 
     pub fn instant(&self, at: Duration) -> Instant {
-        self.zero + at.saturating_sub(self.past)
+        // What lies beyond any clock's reach never comes.
+        let far = || self.zero + BEFORE_START;
+        self.zero.checked_add(at.saturating_sub(self.past)).unwrap_or_else(far)
     }
 
     /// A stamp of the system's clock, in milliseconds, as a span since the zero.
@@ -47,5 +49,6 @@
         let ago = clock.now() - minute_ago;
         assert!(ago >= Duration::from_secs(59) && ago <= Duration::from_secs(62), "{ago:?}");
         assert!(clock.instant(clock.now()) <= Instant::now());
+        assert!(clock.instant(Duration::MAX) > Instant::now());
     }
 }
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -227,10 +227,8 @@
             self.desk.now = self.desk.clock.now();
             self.wake();
             let phase = *self.phase.borrow();
-            let open = self.desk.accesses.values().filter(|taken| taken.client.is_some()).count();
-            let after =
-                if matches!(phase, Phase::Draining { .. }) { phase.at(self.desk.now, open) } else { phase };
-            if after == Phase::Ended {
+            let open = || self.desk.accesses.values().filter(|taken| taken.client.is_some()).count();
+            if phase.at(self.desk.now, open) == Phase::Ended {
                 return self.finish();
             }
             let due = self.desk.timers.peek().map(|Reverse((at, _))| *at);
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -16,6 +16,10 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
+/// No descriptor left to the process, or to the system.
+const EMFILE: i32 = 24;
+const ENFILE: i32 = 23;
+
 /// An execution of an access: the access's id and its number within it.
 pub type Key = (Id, usize);
 
@@ -149,7 +153,9 @@
             }
             Some(Err(what)) => {
                 log::debug!("{}: {what}", self.dial);
-                state.broken(Outcome::Unreachable);
+                // Where this program has no descriptor left the server is not to blame.
+                let ours = matches!(what.raw_os_error(), Some(EMFILE | ENFILE));
+                state.broken(if ours { Outcome::NeverSent } else { Outcome::Unreachable });
             }
             None => {}
         }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -57,7 +57,7 @@
     spawn_local(decisions.run(mailbox));
 
     let (address, last, places) = (told.board, told.last_event, told.places);
-    spawn_local(Board { address, last, places, clock, decider: decider.clone() }.run());
+    spawn_local(Board { address, last, faulty: None, places, clock, decider: decider.clone() }.run());
     let asked = decider.clone();
     spawn_local(async move {
         while stop.recv().await.is_some() {
--- a/crates/router/src/phase.rs
+++ b/crates/router/src/phase.rs
@@ -41,10 +41,10 @@
 
     /// Draining ends when nothing more can come and all is answered, at the latest when a kill may come.
     #[must_use]
-    pub fn at(self, now: Duration, open: usize) -> Phase {
+    pub fn at(self, now: Duration, open: impl Fn() -> usize) -> Phase {
         match self {
             Phase::Draining { since, until }
-                if now >= until || (open == 0 && now >= since + STILL_COMING) =>
+                if now >= until || (now >= since + STILL_COMING && open() == 0) =>
             {
                 Phase::Ended
             }
@@ -74,10 +74,10 @@
         let phase = Phase::Serving.asked_to_stop(ms(1000), ms(5000));
         assert!(!phase.ready());
         assert_eq!(phase.asked_to_stop(ms(1500), ms(5000)), phase);
-        assert_eq!(phase.at(ms(1700), 0), phase, "more may come");
-        assert_eq!(phase.at(ms(1800), 1), phase, "one is open");
-        assert_eq!(phase.at(ms(1800), 0), Phase::Ended);
-        assert_eq!(phase.at(ms(4449), 1), phase);
-        assert_eq!(phase.at(ms(4450), 1), Phase::Ended);
+        assert_eq!(phase.at(ms(1700), || 0), phase, "more may come");
+        assert_eq!(phase.at(ms(1800), || 1), phase, "one is open");
+        assert_eq!(phase.at(ms(1800), || 0), Phase::Ended);
+        assert_eq!(phase.at(ms(4449), || 1), phase);
+        assert_eq!(phase.at(ms(4450), || 1), Phase::Ended);
     }
 }
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -269,7 +269,14 @@
     board.say("{nonsense\n");
     let (mut board, after) = world.board.accept();
     assert_eq!(after, 2, "after nonsense");
-    board.say("2\n");
+    // An event that cannot be used hides those after it no longer than once.
+    let odd = json!({"rev": 3, "pool": {"hosts": [{"host": "c9"}]}});
+    board.say(format!("{odd}\n"));
+    let (mut board, after) = world.board.accept();
+    assert_eq!(after, 2, "after an event that cannot be read");
+    board.say(format!("{odd}\n{}", list(4, &[])));
+    drop(board);
+    assert_eq!(world.board.accept().1, 4);
     let mut client = program.client();
     // All go to the cache that does not drain, whichever the hash would take.
     for tag in 1..=8 {
@@ -378,9 +385,14 @@
         assert!(other.closed(), "{bad:?}");
     }
     assert_eq!(client.health(), "GREEN", "the others are untouched");
+    // No clock reaches as far as this one would wait.
+    client.ask(19, "page", "d=999999999999999999", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    server.answer(&asked, "OK", "tell=hit", b"x");
+    assert_eq!(client.word(), "ACK");
     // A tag and an id that are in use.
     let id = client.ask(20, "page", "", b"");
-    let mut server = world.server("c1").accept();
     let asked = server.asked();
     client.ask(20, "page", "", b"");
     assert_eq!(client.word(), "FAIL");
