--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -8,15 +8,20 @@
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
+fn started() -> (World, Program, Client) {
+    let mut world = World::new();
+    let program = world.start();
+    let client = program.client();
+    (world, program, client)
+}
+
 fn bytes(length: usize) -> Vec<u8> {
     (0..length).map(|n| (n * 31 % 251) as u8).collect()
 }
 
 #[test]
 fn a_hit_passes_unchanged() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     let id = client.ask(7, "page", "piece=3", b"");
     let mut server = world.server("c1").accept();
     let asked = server.asked();
@@ -30,9 +35,7 @@
 
 #[test]
 fn a_write_goes_whole_to_the_origin() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     let body = bytes(48_000);
     client.ask(1, "confirm", "", &body);
     let mut origin = world.server("o1").accept();
@@ -44,9 +47,7 @@
 
 #[test]
 fn a_copy_that_holds_is_not_sent_again() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     client.ask(1, "page", "ver=4be0c1927d55a6f3", b"");
     let mut server = world.server("c1").accept();
     let asked = server.asked();
@@ -61,9 +62,7 @@
 
 #[test]
 fn answers_come_in_any_order_on_shared_connections() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     client.ask(1, "page", "", b"");
     client.ask(2, "page", "", b"");
     let mut server = world.server("c1").accept();
@@ -76,9 +75,7 @@
 
 #[test]
 fn a_full_server_passes_the_access_on_and_a_miss_ends_it() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     client.ask(1, "confirm", "", b"");
     let mut origin = world.server("o1").accept();
     let asked = origin.asked();
@@ -95,9 +92,7 @@
 
 #[test]
 fn a_client_that_leaves_takes_its_executions_along() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     let id = client.ask(1, "page", "", b"");
     let mut server = world.server("c1").accept();
     let asked = server.asked();
@@ -113,9 +108,7 @@
 
 #[test]
 fn what_was_refused_never_ran_and_what_broke_may_have() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (mut world, _program, mut client) = started();
     client.ask(1, "confirm", "", b"");
     let mut origin = world.server("o1").accept();
     origin.asked();
@@ -132,9 +125,7 @@
 
 #[test]
 fn nonsense_from_a_server_breaks_its_connection_only() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     client.ask(1, "confirm", "", b"");
     let mut origin = world.server("o1").accept();
     origin.asked();
@@ -151,9 +142,7 @@
 
 #[test]
 fn silence_ends_in_time_and_its_connection_takes_nothing_new() {
-    let mut world = World::new();
-    let program = world.start();
-    let mut client = program.client();
+    let (world, _program, mut client) = started();
     let asked_at = Instant::now();
     let id = client.ask(1, "page", "d=600", b"");
     let mut silent = world.server("c1").accept();
@@ -164,8 +153,7 @@
     assert_eq!(silent.line(), "", "nothing is out on it any more");
     client.ask(2, "page", "", b"");
     let mut server = world.server("c1").accept();
-    let asked = server.asked();
-    server.answer(&asked, "OK", "tell=hit", b"back");
+    server.serve(b"back");
     assert_eq!(client.word(), "ACK");
 }
 
@@ -207,8 +195,7 @@
     let mut client = program.client();
     client.ask(1, "page", "", b"");
     let mut server = world.server("c1").accept();
-    let asked = server.asked();
-    server.answer(&asked, "OK", "tell=hit", b"x");
+    server.serve(b"x");
     assert_eq!(client.word(), "ACK");
     assert_eq!(server.line(), "");
 }
@@ -284,8 +271,7 @@
     }
     let mut server = world.server("c2").accept();
     for _ in 1..=4 {
-        let asked = server.asked();
-        server.answer(&asked, "OK", "tell=hit", b"x");
+        server.serve(b"x");
     }
 }
 
@@ -388,8 +374,7 @@
     // No clock reaches as far as this one would wait.
     client.ask(19, "page", "d=999999999999999999", b"");
     let mut server = world.server("c1").accept();
-    let asked = server.asked();
-    server.answer(&asked, "OK", "tell=hit", b"x");
+    server.serve(b"x");
     assert_eq!(client.word(), "ACK");
     // A tag and an id that are in use.
     let id = client.ask(20, "page", "", b"");
@@ -411,15 +396,13 @@
     let mut server = world.server("c1").accept();
     let object = bytes(240_000);
     for tag in 1..=32 {
-        let asked = server.asked();
-        server.answer(&asked, "OK", "tell=hit", &object);
+        server.serve(&object);
         if tag < 32 {
             slow.ask(tag + 1, "page", "", b"");
         }
     }
     quick.ask(1, "page", "", b"");
-    let asked = server.asked();
-    server.answer(&asked, "OK", "tell=hit", b"x");
+    server.serve(b"x");
     assert_eq!(quick.word(), "ACK");
     for tag in 1..=32 {
         let (of, word, _, body) = slow.answer();
@@ -439,19 +422,16 @@
     assert_eq!(client.answer(), (3, "NAK".into(), "".into(), vec![]));
     let mut server = world.server("c1").accept();
     for tag in [1, 2] {
-        let asked = server.asked();
-        server.answer(&asked, "OK", "tell=hit", &bytes(240_000));
+        server.serve(&bytes(240_000));
         assert_eq!(client.answer().0, tag);
     }
     client.ask(4, "page", "", b"");
-    let asked = server.asked();
-    server.answer(&asked, "OK", "tell=hit", b"x");
+    server.serve(b"x");
     assert_eq!(client.word(), "ACK", "what has been written takes no place any more");
     // Where objects are small more may be out: to reckon with the largest would decline half of them.
     for tag in 1..=100 {
         client.ask(tag, "page", "", b"");
-        let asked = server.asked();
-        server.answer(&asked, "OK", "tell=hit", b"x");
+        server.serve(b"x");
         assert_eq!(client.word(), "ACK");
     }
     for tag in 1..=5 {
@@ -478,8 +458,7 @@
         assert_eq!(last.word(), "GREEN");
         last.ask(2, "page", "", b"");
         let mut server = world.server("c1").accept();
-        let asked = server.asked();
-        server.answer(&asked, "OK", "tell=hit", b"x");
+        server.serve(b"x");
         assert_eq!(last.word(), "ACK");
     }
 }
--- a/crates/router/tests/stand_ins/mod.rs
+++ b/crates/router/tests/stand_ins/mod.rs
@@ -76,6 +76,12 @@
         Asked { id: words[1].to_owned(), fields, body }
     }
 
+    /// Takes a request and answers it as a hit.
+    pub fn serve(&mut self, body: &[u8]) {
+        let asked = self.asked();
+        self.answer(&asked, "OK", "tell=hit", body);
+    }
+
     pub fn answer(&mut self, asked: &Asked, word: &str, fields: &str, body: &[u8]) {
         self.say(
             [format!("{} {word} {fields} {}\r\n", asked.id, body.len()).as_bytes(), body, b"\r\n"].concat(),
