--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -153,9 +153,7 @@
             }
             Some(Err(what)) => {
                 log::debug!("{}: {what}", self.dial);
-                // Where this program has no descriptor left the server is not to blame.
-                let ours = matches!(what.raw_os_error(), Some(EMFILE | ENFILE));
-                state.broken(if ours { Outcome::NeverSent } else { Outcome::Unreachable });
+                state.broken(not_connected(&what));
             }
             None => {}
         }
@@ -232,6 +230,14 @@
     }
 }
 
+/// Nothing ran either way; but where this program has no descriptor left the server is not to blame.
+fn not_connected(what: &io::Error) -> Outcome {
+    match what.raw_os_error() {
+        Some(EMFILE | ENFILE) => Outcome::NeverSent,
+        _ => Outcome::Unreachable,
+    }
+}
+
 /// Waits for a time; for ever where there is none.
 pub async fn at(time: Option<Instant>) {
     match time {
@@ -244,7 +250,7 @@
 mod tests {
     use super::*;
 
-    pub fn ask(id: &'static str, due: Duration, leave_by: Duration) -> Box<Ask> {
+    fn ask(id: &'static str, due: Duration, leave_by: Duration) -> Box<Ask> {
         let passed = Passed { id: Bytes::from_static(id.as_bytes()), ..Passed::default() };
         let now = Instant::now();
         let line = BytesMut::from("ASK");
@@ -255,6 +261,13 @@
         state.ended.drain(..).map(|(key, outcome, _, _)| (key.0.to_string(), outcome)).collect()
     }
 
+    #[test]
+    fn a_server_is_not_blamed_for_our_descriptors() {
+        assert_eq!(not_connected(&io::Error::from_raw_os_error(EMFILE)), Outcome::NeverSent);
+        assert_eq!(not_connected(&io::ErrorKind::ConnectionRefused.into()), Outcome::Unreachable);
+        assert_eq!(not_connected(&io::ErrorKind::TimedOut.into()), Outcome::Unreachable);
+    }
+
     #[test]
     fn only_what_was_written_may_have_run() {
         let (long, none) = (Duration::from_secs(60), Duration::ZERO);
