--- a/crates/router/src/board.rs
+++ b/crates/router/src/board.rs
@@ -32,11 +32,14 @@
 
 impl Board {
     pub async fn run(mut self) {
-        let mut pause = PAUSE;
+        let (mut pause, mut said) = (PAUSE, String::new());
         while !self.decider.is_closed() {
             let before = self.last;
             let what = self.follow(&mut pause).await.err().unwrap_or_default();
-            log::info!("notice board: {what}; watching anew from {}", self.last);
+            // While it is down each try fails alike: said once.
+            let level = if self.last > before || what != said { log::Level::Info } else { log::Level::Debug };
+            log::log!(level, "notice board: {what}; watching anew from {}", self.last);
+            said = what;
             if self.last > before {
                 pause = PAUSE;
             }
