A client ends only its own accesses; an unlisted server's execution ends; failed decisions end the program

Found by reading: a connection that named another's id and went took that access with it; an execution for a server no longer listed had no end, so its access waited for its time; a panic among the decisions would have left exit code 0.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -77,7 +77,7 @@
         let mut open = HashMap::new();
         let mut unwritten = Unwritten::default();
         let (replies, mut mailbox) = mpsc::channel(REPLIES_MOST);
-        if let Err(what) = self.serve(stream, replies, &mut mailbox, &mut open, &mut unwritten).await {
+        if let Err(what) = self.serve(stream, &replies, &mut mailbox, &mut open, &mut unwritten).await {
             log::debug!("client: {what}");
         }
         // Bodies that nobody will read take no place any more.
@@ -85,8 +85,8 @@
         while let Some(reply) = mailbox.recv().await {
             say(reply, &mut open, &mut unwritten);
         }
-        for id in open.into_values() {
-            let _ = self.decider.send(Message::Left(id)).await;
+        for (tag, id) in open {
+            let _ = self.decider.send(Message::Left(id, tag, replies.clone())).await;
         }
         let _ = self.decider.send(Message::Written(unwritten.object)).await;
     }
@@ -94,7 +94,7 @@
     async fn serve(
         &mut self,
         mut stream: TcpStream,
-        replies: mpsc::Sender<Reply>,
+        replies: &mpsc::Sender<Reply>,
         mailbox: &mut mpsc::Receiver<Reply>,
         open: &mut HashMap<u64, Id>,
         unwritten: &mut Unwritten,
@@ -136,7 +136,7 @@
                     moved = Instant::now();
                     let read_at = self.door.clock.now();
                     while let Some(frame) = frames.next(&mut buffer).map_err(|e| e.0.to_string())? {
-                        self.frame(frame, read_at, &replies, open, unwritten).await?;
+                        self.frame(frame, read_at, replies, open, unwritten).await?;
                     }
                     if buffer.capacity() - buffer.len() < 1024 {
                         buffer.reserve(READ_AT_ONCE);
@@ -168,7 +168,7 @@
             }
             b"ABORT" => {
                 if let Some(id) = open.remove(&tag) {
-                    let _ = self.decider.send(Message::Left(id)).await;
+                    let _ = self.decider.send(Message::Left(id, tag, replies.clone())).await;
                 }
             }
             b"REQ" => {
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -29,7 +29,8 @@
 
 pub enum Message {
     Access(Box<New>),
-    Left(Id),
+    /// The client of this connection has given up what it asked under this tag, or is gone.
+    Left(Id, u64, mpsc::Sender<Reply>),
     /// So many bytes of bodies have been written to a client, or dropped.
     Written(usize),
     Ended(Ended),
@@ -83,7 +84,8 @@
 }
 
 struct Execution {
-    server: mpsc::Sender<Order>,
+    /// None: the list does not hold it.
+    server: Option<mpsc::Sender<Order>>,
     sent: Duration,
     open: bool,
 }
@@ -130,10 +132,6 @@
     fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: &Fill) {
         let Some(taken) = self.accesses.get_mut(access) else { return };
         let key = (access.clone(), taken.executions.len());
-        let Some(post) = self.posts.get(server) else {
-            log::warn!("an execution for {server}, which the list does not hold");
-            return self.unsent.push_back(key);
-        };
         let ask = Box::new(Ask {
             key: key.clone(),
             passed: taken.passed.clone(),
@@ -141,11 +139,12 @@
             due: self.clock.instant(self.now + limit),
             leave_by: self.clock.instant(self.now + self.leave_within),
         });
-        let (server, sent) = (post.orders.clone(), self.now);
-        if server.try_send(Order::Ask(ask)).is_err() {
+        let post = self.posts.get(server).map(|post| post.orders.clone());
+        if post.as_ref().is_none_or(|orders| orders.try_send(Order::Ask(ask)).is_err()) {
+            log::warn!("an execution for {server}, which is not listed or takes no more orders");
             self.unsent.push_back(key);
         }
-        taken.executions.push(Execution { server, sent, open: true });
+        taken.executions.push(Execution { server: post, sent: self.now, open: true });
         self.out += 1;
     }
 
@@ -159,9 +158,10 @@
 
     fn cancel(&mut self, access: &Id, execution: usize) {
         let executions = self.accesses.get(access).map(|taken| &taken.executions);
-        if let Some(execution_out) = executions.and_then(|e| e.get(execution)).filter(|e| e.open) {
+        let out = executions.and_then(|e| e.get(execution)).filter(|e| e.open);
+        if let Some(server) = out.and_then(|out| out.server.as_ref()) {
             // Where this fails the execution ends by its own time.
-            let _ = execution_out.server.try_send(Order::Quit((access.clone(), execution)));
+            let _ = server.try_send(Order::Quit((access.clone(), execution)));
         }
     }
 
@@ -270,8 +270,12 @@
         self.desk.now = self.desk.clock.now();
         match message {
             Message::Access(new) => self.access(*new),
-            Message::Left(id) => {
-                if let Some(taken) = self.desk.accesses.get_mut(&id) {
+            Message::Left(id, tag, client) => {
+                // Another's access may bear the same id: it is not this client's to end.
+                let own = |taken: &&mut Taken| {
+                    taken.tag == tag && taken.client.as_ref().is_some_and(|c| c.same_channel(&client))
+                };
+                if let Some(taken) = self.desk.accesses.get_mut(&id).filter(own) {
                     taken.client = None;
                     self.desk.answered.push(id.clone());
                     self.router.left(self.desk.now, &id, &mut self.desk);
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -54,7 +54,7 @@
     // The list comes before the first access.
     told.known.into_iter().for_each(|notice| decisions.notice(notice));
     let socket = listener::bind(told.listen).map_err(|e| format!("listen: {}: {e}", told.listen))?;
-    spawn_local(decisions.run(mailbox));
+    let deciding = spawn_local(decisions.run(mailbox));
 
     let (address, last, places) = (told.board, told.last_event, told.places);
     spawn_local(Board { address, last, faulty: None, places, clock, decider: decider.clone() }.run());
@@ -71,6 +71,8 @@
     let most = told.limits.sockets / 3 + 16;
     let door = Rc::new(Door { categories: told.categories, clock });
     listener::run(socket, most, door, decider, phase).await;
+    // Without decisions nothing can be answered: better to be started anew than to go on.
+    deciding.await.map_err(|what| format!("the decisions failed: {what}"))?;
     log::info!("{} ended", told.name);
     Ok(())
 }
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -410,6 +410,13 @@
     assert_eq!(client.word(), "FAIL");
     client.send(&[b"REQ", b"21", b"page", format!("i={id},o={id},d=900").as_bytes(), b""]);
     assert_eq!(client.answer().1, "FAIL");
+    // Nor is one client's access ended by another that names its id and goes.
+    let mut other = program.client();
+    other.send(&[b"REQ", b"20", b"page", format!("i={id},o={id},d=900").as_bytes(), b""]);
+    other.send(&[b"ABORT", b"20"]);
+    assert_eq!(other.health(), "GREEN");
+    drop(other);
+    assert_eq!(client.health(), "GREEN");
     server.answer(&asked, "OK", "tell=hit", b"x");
     assert_eq!(client.answer(), (20, "ACK".into(), "".into(), b"x".to_vec()));
     // One more than a connection carries.
