What the notice board told goes before accesses and timers, also after a pause of the program

Seen in a test: the program stopped, eight accesses asked and a drain told meanwhile, then continued: accesses went to the server that drains, since their messages lay before the event's. After a pause longer than the grace that breaks the rule on drains (and on purges). Wrong lines: one mailbox for both; timers first after a late turn.

--- a/crates/router/src/board.rs
+++ b/crates/router/src/board.rs
@@ -1,8 +1,7 @@
 //! Follows the notice board: events in order, none twice, none left out.
 
 use crate::clock::Clock;
-use crate::decider::Message;
-use crate::notices::{Places, numbered};
+use crate::notices::{Notice, Places, numbered};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,7 +26,7 @@
     pub faulty: Option<u64>,
     pub places: Places,
     pub clock: Clock,
-    pub decider: mpsc::Sender<Message>,
+    pub decider: mpsc::Sender<Notice>,
 }
 
 impl Board {
@@ -97,7 +96,7 @@
         };
         self.last = number;
         if let Some(notice) = notice {
-            self.decider.send(Message::Notice(notice)).await.map_err(|_| "the router has ended")?;
+            self.decider.send(notice).await.map_err(|_| "the router has ended")?;
         }
         Ok(())
     }
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -17,7 +17,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
+use tokio::time::sleep_until;
 
 /// Orders on their way to a server's actor, which takes them at once; more are reported never sent.
 const ORDERS_MOST: usize = 1024;
@@ -26,6 +27,9 @@
 const OBJECT_MOST: f64 = 240_000.0;
 const OBJECT_MOVES: f64 = 1.0 / 64.0;
 const CONNECTIONS_MOST: usize = 8;
+/// The decider looks up this often at least; where it comes later than that by so much, the program was held up.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_millis(50);
 
 pub enum Message {
     Access(Box<New>),
@@ -34,7 +38,6 @@
     /// So many bytes of bodies have been written to a client, or dropped.
     Written(usize),
     Ended(Ended),
-    Notice(Notice),
     Stop,
 }
 
@@ -222,7 +225,9 @@
         }
     }
 
-    pub async fn run(mut self, mut mailbox: mpsc::Receiver<Message>) {
+    /// What the notice board tells goes before all else: after a pause of the whole program, as on a machine that
+    /// others share, a drain or a purge may wait unread for longer than its grace, behind accesses and timers.
+    pub async fn run(mut self, mut mailbox: mpsc::Receiver<Message>, mut notices: mpsc::Receiver<Notice>) {
         loop {
             self.desk.now = self.desk.clock.now();
             self.wake();
@@ -233,13 +238,27 @@
             }
             let due = self.desk.timers.peek().map(|Reverse((at, _))| *at);
             let look = due.into_iter().chain(phase.next_look(self.desk.now)).min();
-            tokio::select! {
+            let look = look.unwrap_or(Duration::MAX).min(self.desk.now + LOOK_EVERY);
+            let message = tokio::select! {
                 biased;
-                message = mailbox.recv() => match message {
-                    Some(message) => self.take(message),
-                    None => return self.finish(),
-                },
-                () = crate::link::at(look.map(|at| self.desk.clock.instant(at))) => {}
+                Some(notice) = notices.recv() => {
+                    self.notice(notice);
+                    continue;
+                }
+                message = mailbox.recv() => Some(message),
+                () = sleep_until(self.desk.clock.instant(look)) => None,
+            };
+            if self.desk.clock.now() >= self.desk.now + LOOK_EVERY + PAUSE {
+                // The board's task has its turn first.
+                yield_now().await;
+            }
+            while let Ok(notice) = notices.try_recv() {
+                self.notice(notice);
+            }
+            match message {
+                Some(Some(message)) => self.take(message),
+                Some(None) => return self.finish(),
+                None => {}
             }
         }
     }
@@ -283,7 +302,6 @@
             }
             Message::Written(bytes) => self.desk.in_hand = self.desk.in_hand.saturating_sub(bytes),
             Message::Ended(ended) => self.ended(ended),
-            Message::Notice(notice) => self.notice(notice),
             Message::Stop => {
                 let phase = *self.phase.borrow();
                 log::info!("asked to stop, with {} accesses open", self.desk.accesses.len());
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -27,6 +27,8 @@
 
 /// Messages waiting for the decisions. Who brings more waits, and reads nothing meanwhile.
 const MESSAGES_MOST: usize = 256;
+/// Events of the notice board, which go before them; the board is read no further meanwhile.
+const NOTICES_MOST: usize = 64;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
@@ -54,10 +56,11 @@
     // The list comes before the first access.
     told.known.into_iter().for_each(|notice| decisions.notice(notice));
     let socket = listener::bind(told.listen).map_err(|e| format!("listen: {}: {e}", told.listen))?;
-    let deciding = spawn_local(decisions.run(mailbox));
+    let (noticed, notices) = mpsc::channel(NOTICES_MOST);
+    let deciding = spawn_local(decisions.run(mailbox, notices));
 
     let (address, last, places) = (told.board, told.last_event, told.places);
-    spawn_local(Board { address, last, faulty: None, places, clock, decider: decider.clone() }.run());
+    spawn_local(Board { address, last, faulty: None, places, clock, decider: noticed }.run());
     let asked = decider.clone();
     spawn_local(async move {
         while stop.recv().await.is_some() {
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -301,6 +301,29 @@
     server.serve(b"x");
 }
 
+#[test]
+fn what_was_told_during_a_pause_goes_before_what_was_asked() {
+    let mut world = World::new();
+    world.servers.push(Server::new("c2", "cache"));
+    let program = world.start();
+    let (mut board, _) = world.board.accept();
+    let mut clients: Vec<Client> = (0..8).map(|_| program.client()).collect();
+    clients.iter_mut().for_each(|client| assert_eq!(client.health(), "GREEN"));
+    // Held up, as a machine that others share may be, for longer than the grace perhaps.
+    program.signal("STOP");
+    for (tag, client) in (1..).zip(&mut clients) {
+        client.ask(tag, "page", "", b"");
+    }
+    board.say(list(2, &[world.server("c1").entry("leaving")]));
+    program.signal("CONT");
+    let mut server = world.server("c2").accept();
+    for _ in 0..4 {
+        server.asked();
+    }
+    world.server("c1").listener.set_nonblocking(true).unwrap();
+    assert!(world.server("c1").listener.accept().is_err(), "sent to a server that drains");
+}
+
 #[test]
 fn a_silent_board_is_watched_anew() {
     let mut world = World::new();
@@ -517,6 +540,11 @@
         ("/settings/Limits/ConnectTimeout", json!([]), "ConnectTimeout"),
         ("/settings/FamilyInfo", json!(3), "FamilyInfo"),
         ("/settings/Zones", json!([1]), "Zones"),
+        ("/settings/Limits/IdleClose", json!(true), "IdleClose"),
+        ("/settings/Limits/StreamsPerConn", json!(1.5), "StreamsPerConn"),
+        ("/settings/Limits/MaxOpen", json!("all"), "MaxOpen"),
+        ("/limits", json!([]), "limits"),
+        ("/known/rev", json!("x"), "rev"),
         ("/known", json!(7), "known"),
         ("/known/notices", json!(null), "notices"),
         ("/known/notices/0/pool/hosts/0/dial", json!("x"), "dial"),
--- a/crates/router/tests/stand_ins/mod.rs
+++ b/crates/router/tests/stand_ins/mod.rs
@@ -324,7 +324,12 @@
     }
 
     pub fn terminate(&self) {
-        let sent = Command::new("/bin/sh").args(["-c", &format!("kill -TERM {}", self.child.id())]).status();
+        self.signal("TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let sent =
+            Command::new("/bin/sh").args(["-c", &format!("kill -{name} {}", self.child.id())]).status();
         assert!(sent.unwrap().success());
     }
 
