--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -309,12 +309,15 @@
     let (mut board, _) = world.board.accept();
     let mut clients: Vec<Client> = (0..8).map(|_| program.client()).collect();
     clients.iter_mut().for_each(|client| assert_eq!(client.health(), "GREEN"));
-    // Held up, as a machine that others share may be, for longer than the grace perhaps.
+    // Held up, as a machine that others share may be, for long enough to be noticed.
     program.signal("STOP");
+    until("the pause", || program.is_stopped());
+    let paused = Instant::now();
     for (tag, client) in (1..).zip(&mut clients) {
         client.ask(tag, "page", "", b"");
     }
     board.say(list(2, &[world.server("c1").entry("leaving")]));
+    until("a long pause", || paused.elapsed() > Duration::from_millis(300));
     program.signal("CONT");
     let mut server = world.server("c2").accept();
     for _ in 0..4 {
--- a/crates/router/tests/stand_ins/mod.rs
+++ b/crates/router/tests/stand_ins/mod.rs
@@ -333,6 +333,11 @@
         assert!(sent.unwrap().success());
     }
 
+    pub fn is_stopped(&self) -> bool {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        stat.rsplit(") ").next().is_some_and(|rest| rest.starts_with('T'))
+    }
+
     pub fn ended(&mut self) -> (ExitStatus, String) {
         let mut status = None;
         until("the program's end", || {
