--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -4,7 +4,7 @@
 use chalkhall::interface::{
     Arrival, Ended, Fill, Id, ListKind, Load, Member, Outcome, Outlet, Remark, Standing, Tier,
 };
-use chalkhall_deployment::{self as start, Fields, flag, ms, number, span, text, whole};
+use chalkhall_deployment::{self as deployment, Fields, flag, ms, number, span, text, whole};
 use serde_json::{Value, json};
 use std::collections::HashMap;
 use std::io::{BufRead, Write};
@@ -185,10 +185,10 @@
         let now = self.now;
         if name == "Boot" {
             let options = f.get("Options").and_then(Value::as_object).ok_or("Options is not an object")?;
-            let told = start::deployment(whole(f, "Salt")?, options)?;
+            let told = deployment::deployment(whole(f, "Salt")?, options)?;
             let router = Router::start(now, &told, out);
-            let (report, classes) = (start::report_fields(options), told.categories.len());
-            let parent_and_origin = start::parent_and_origin(options);
+            let (report, classes) = (deployment::report_fields(options), told.categories.len());
+            let parent_and_origin = deployment::parent_and_origin(options);
             self.routers.insert(number_of, Hosted { router, report, classes, parent_and_origin });
             return out.failed.take().map_or(Ok(()), Err);
         }
