Patience is bounded: after a pause hundreds looked into at once overflowed it and crashed the router

Checked: 1.2 to the power of the executions called off at one moment passes what a Duration holds from about 250 on; a scenario of 300 silent hits panics the same way. Wrong line: look_into, patience *= PATIENCE_GROWS. Now at most 100, past every hard limit.

--- a/src/control.rs
+++ b/src/control.rs
@@ -35,6 +35,7 @@
 const OVERHEAD: Duration = Duration::from_millis(100);
 const PATIENCE: f64 = 3.0;
 const PATIENCE_GROWS: f64 = 1.2;
+const PATIENCE_MOST: f64 = 100.0;
 const PATIENCE_FALLS: f64 = 0.99;
 /// A hit that takes this multiple of its usual counts as failed.
 const SLOW_HIT: f64 = 2.0;
@@ -319,10 +320,9 @@
         *mean += (work.as_secs_f64() - *mean) / *of;
         let due = now + arrival.left.saturating_sub(self.margin);
         let soft = now + category.soft_limit + work.mul_f64(category.soft_stretch);
-        let id = arrival.id.clone();
+        let (id, late) = (arrival.id.clone(), arrival.id.clone());
         let access = Access { arrival, rank, first, work, soft, due, ..Access::default() };
         self.accesses.insert(id.clone(), access);
-        let late = id.clone();
         self.after(turn, due.saturating_sub(now), Box::new(move |router, turn| router.end(turn, &late)));
         self.advance(turn, &id);
     }
@@ -414,7 +414,7 @@
         self.fills_out -= 1.0;
         // At high rates some fill is always late, of a large object perhaps: a cut for each would choke all.
         let (last, ended, late) = self.fills_lately;
-        let fades = (-(turn.now - last).div_duration_f64(FILL_CUT_EVERY)).exp();
+        let fades = (-turn.now.saturating_sub(last).div_duration_f64(FILL_CUT_EVERY)).exp();
         let (ended, late) = (ended * fades + 1.0, late * fades + f64::from(in_time == Some(false)));
         self.fills_lately = (turn.now, ended, late);
         if in_time == Some(false) && late > FILL_LATE * ended && turn.now >= self.fills_cut + FILL_CUT_EVERY {
@@ -616,7 +616,7 @@
                     return self.after(turn, wait, again);
                 }
                 access.failed.push(name.clone());
-                self.patience *= PATIENCE_GROWS;
+                self.patience = (self.patience * PATIENCE_GROWS).min(PATIENCE_MOST);
                 return turn.out.cancel(id, n);
             }
         }
