--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -245,7 +245,7 @@
                 biased;
                 Some(notice) = notices.recv() => {
                     self.notice(notice);
-                    continue;
+                    None
                 }
                 message = mailbox.recv() => Some(message),
                 () = sleep_until(self.desk.clock.instant(look)) => None,
