SIGHUP moves the router to the notice board of its new configuration

Cause: main.rs took up SIGTERM alone, so SIGHUP's default ended the process; board.rs knew one address for good. Checked and ruled out: 129 is 128 + SIGHUP; no panic, no other crash in the logs. The file is checked whole before any of it counts, events past the last number are taken from it, and the board's task drops whatever the old board is at. An event counts only once it has a place in the decider's mailbox, so none is lost where the task is interrupted. A board is held for dead after 1.8 s of silence in place of 2.5. Test a_configuration_read_anew_moves_to_its_board: seen to fail without the change (no connection to the new board).

--- a/crates/router/src/board.rs
+++ b/crates/router/src/board.rs
@@ -10,8 +10,9 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// The board says its last number each second: after this long without it the connection is dead.
-const SILENCE: Duration = Duration::from_millis(2500);
+/// The board says its last number each second: after this long without it the connection is dead. What a silent
+/// board holds back counts as told 4 s after it stopped.
+const SILENCE: Duration = Duration::from_millis(1800);
 const CONNECT: Duration = Duration::from_millis(500);
 /// Between tries to connect anew; doubled from the first to the second.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -29,12 +30,27 @@
     pub decider: mpsc::Sender<Notice>,
 }
 
+/// What a configuration read anew says of the board.
+pub struct Anew {
+    pub address: SocketAddr,
+    pub known: Vec<(u64, Option<Notice>)>,
+}
+
 impl Board {
-    pub async fn run(mut self) {
+    pub async fn run(mut self, mut anew: mpsc::Receiver<Anew>) {
         let (mut pause, mut said) = (PAUSE, String::new());
         while !self.decider.is_closed() {
             let before = self.last;
-            let what = self.follow(&mut pause).await.err().unwrap_or_default();
+            let what = tokio::select! {
+                biased;
+                // Whatever the old board is at: it tells nothing more, perhaps without saying so.
+                Some(anew) = anew.recv() => {
+                    self.take(anew).await;
+                    pause = PAUSE;
+                    continue;
+                }
+                what = self.follow(&mut pause) => what.err().unwrap_or_default(),
+            };
             // While it is down each try fails alike: said once.
             let level = if self.last > before || what != said { log::Level::Info } else { log::Level::Debug };
             log::log!(level, "notice board: {what}; watching anew from {}", self.last);
@@ -42,11 +58,36 @@
             if self.last > before {
                 pause = PAUSE;
             }
-            sleep(pause).await;
+            tokio::select! {
+                biased;
+                Some(anew) = anew.recv() => self.take(anew).await,
+                () = sleep(pause) => {}
+            }
             pause = (pause * 2).min(PAUSE_MOST);
         }
     }
 
+    async fn take(&mut self, anew: Anew) {
+        self.address = anew.address;
+        for (number, notice) in anew.known {
+            // Past a gap the board itself tells what is between.
+            if number == self.last + 1 && self.pass(number, notice).await.is_err() {
+                return;
+            }
+        }
+        log::info!("notice board: {} from now on, from {}", self.address, self.last);
+    }
+
+    /// Given up while it waits, it has passed nothing and counts nothing.
+    async fn pass(&mut self, number: u64, notice: Option<Notice>) -> Result<(), String> {
+        let place = self.decider.reserve().await.map_err(|_| "the router has ended")?;
+        self.last = number;
+        if let Some(notice) = notice {
+            place.send(notice);
+        }
+        Ok(())
+    }
+
     async fn follow(&mut self, pause: &mut Duration) -> Result<(), String> {
         let connecting = timeout(CONNECT, TcpStream::connect(self.address));
         let mut stream = connecting.await.map_err(|_| "no connection in time")?.map_err(|e| e.to_string())?;
@@ -94,10 +135,6 @@
                 return Err(what);
             }
         };
-        self.last = number;
-        if let Some(notice) = notice {
-            self.decider.send(notice).await.map_err(|_| "the router has ended")?;
-        }
-        Ok(())
+        self.pass(number, notice).await
     }
 }
--- a/crates/router/src/told.rs
+++ b/crates/router/src/told.rs
@@ -23,11 +23,23 @@
     pub board: SocketAddr,
     /// The number of the last event in `known`, and the events.
     pub last_event: u64,
-    pub known: Vec<Notice>,
+    pub known: Vec<(u64, Option<Notice>)>,
     pub places: Places,
     pub deployment: Deployment,
     pub categories: Vec<String>,
     pub limits: Limits,
+    fixed: Vec<Value>,
+}
+
+/// What a running router does not take over.
+const FIXED: [&str; 4] = ["name", "listen", "limits", "settings"];
+
+impl Told {
+    /// The keys in which another configuration differs where only a restart takes it over.
+    pub fn fixed_otherwise(&self, anew: &Told) -> Vec<&'static str> {
+        let pairs = self.fixed.iter().zip(&anew.fixed).zip(FIXED);
+        pairs.filter_map(|((old, new), name)| (old != new).then_some(name)).collect()
+    }
 }
 
 /// The limits of transport.
@@ -91,11 +103,12 @@
         listen,
         board,
         last_event,
-        known: events.into_iter().filter_map(|(_, notice)| notice).collect(),
+        known: events,
         places,
         deployment,
         categories: names.categories,
         limits: limits(file, settings)?,
+        fixed: FIXED.map(|name| file.get(name).cloned().unwrap_or_default()).to_vec(),
     })
 }
 
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -2,7 +2,7 @@
 
 mod stand_ins;
 
-use serde_json::json;
+use serde_json::{Value, json};
 use stand_ins::*;
 use std::io::Read;
 use std::net::TcpListener;
@@ -556,6 +556,49 @@
     }
 }
 
+#[test]
+fn a_configuration_read_anew_moves_to_its_board() {
+    let mut world = World::new();
+    world.servers.push(Server::new("c2", "cache"));
+    let mut program = world.start();
+    // Silent, and in the middle of an event.
+    let (mut old, _) = world.board.accept();
+    old.say("{\"rev\":2,");
+    // An event of the new file, one that both have, and one that the new board alone tells.
+    world.move_board();
+    let leaving: Value = serde_json::from_str(&list(2, &[world.server("c1").entry("leaving")])).unwrap();
+    world.file["known"]["rev"] = json!(2);
+    world.file["known"]["notices"].as_array_mut().unwrap().push(leaving);
+    world.file["limits"]["sockets"] = json!(512);
+    world.write();
+    let told = Instant::now();
+    for _ in 0..3 {
+        program.signal("HUP");
+    }
+    let (_board, after) = world.board.accept();
+    assert_eq!(after, 2);
+    assert!(told.elapsed() < Duration::from_millis(1500), "not for silence: {:?}", told.elapsed());
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    let mut server = world.server("c2").accept();
+    for tag in 2..=9 {
+        server.serve(b"x");
+        assert_eq!(client.word(), "ACK");
+        client.ask(tag, "page", "", b"");
+    }
+    program.terminate();
+    until("RED", || program.client().health() == "RED");
+    // One that is faulty changes nothing.
+    world.file["board"] = json!("nowhere");
+    world.write();
+    program.signal("HUP");
+    server.serve(b"x");
+    assert_eq!(client.word(), "ACK");
+    let (status, log) = program.ended();
+    assert!(status.success(), "{log}");
+    assert!(log.contains("board is not an address") && log.contains("limits: a restart is needed"), "{log}");
+}
+
 #[test]
 fn what_is_told_wrongly_is_named() {
     let wrong = [
--- a/crates/router/tests/stand_ins/mod.rs
+++ b/crates/router/tests/stand_ins/mod.rs
@@ -288,6 +288,21 @@
         self.servers.iter().find(|s| s.name == name).unwrap()
     }
 
+    pub fn path(&self) -> PathBuf {
+        self.dir.join("told.json")
+    }
+
+    /// Writes the file anew, as what replaces it on the platform does.
+    pub fn write(&self) {
+        std::fs::write(self.path(), self.file.to_string()).unwrap();
+    }
+
+    /// The notice board is somewhere else from now on.
+    pub fn move_board(&mut self) {
+        self.board = Board { listener: listen() };
+        self.file["board"] = json!(self.board.listener.local_addr().unwrap().to_string());
+    }
+
     /// Starts the program, within the shell's limits where they are given.
     pub fn spawn(&mut self, limits: &str) -> Program {
         if self.file["known"].is_null() {
@@ -295,8 +310,8 @@
             let first = json!({"rev": 1, "pool": {"seq": 1, "whole": true, "hosts": entries}});
             self.file["known"] = json!({"rev": 1, "notices": [first]});
         }
-        let path = self.dir.join("told.json");
-        std::fs::write(&path, self.file.to_string()).unwrap();
+        self.write();
+        let path = self.path();
         let run = format!("{limits} exec {}", env!("CARGO_BIN_EXE_chalkhall-router"));
         let mut command = Command::new("/bin/sh");
         command.args(["-c", &run]).env("ROUTER_CONFIG", &path);
