Clients that say nothing make room for those who ask and are closed in time

Cause: listener.rs stopped accepting at a third of the descriptors; client.rs let an idle or silent connection, and one with half a message, stand for 30 s. A second request under an open tag got an answer of its own under that tag. Checked and ruled out: CPU 0.04 of a core at most in a second, memory 6 of 48 MB, so neither kept clients out. Change: past the bound who never asked goes first, then who stood idle longest; a first message, and each that has begun, is due within 2 s; idle ones go after 5 s (clients close theirs after 4 s). Unreadable data and a tag in use get one FAIL for each open access, then a close. An idle client holds no buffer; parts are bounded by their place in the message (one took up to 512 KB before). Floods of nonsense and of failing accepts are logged in few lines (2,760 before).

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -3,18 +3,20 @@
 use crate::clock::Clock;
 use crate::decider::{Last, Message, New, Reply};
 use crate::lines::Passed;
+use crate::link::at;
+use crate::listener::{Place, Word};
 use crate::phase::Phase;
-use crate::resp::{END, Frames, answer, fields, number};
+use crate::resp::{END, Frames, Nonsense, answer, fields, number};
 use bytes::{Buf, Bytes, BytesMut};
 use chalkhall::interface::{Arrival, Id};
 use std::collections::{HashMap, VecDeque};
-use std::io::IoSlice;
+use std::io::{self, IoSlice};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, tcp::ReadHalf};
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, timeout};
 
 /// A connection carries up to 32 open requests.
 const OPEN_MOST: usize = 32;
@@ -24,9 +26,14 @@
 const REPLIES_MOST: usize = 4 * OPEN_MOST;
 /// No access waits for longer, whatever its client says: its timers would pile up.
 const WAIT_MOST: Duration = Duration::from_secs(60);
-/// A connection that takes no byte of its answers for this long is closed, and one that is idle for this long.
+/// A connection that takes no byte of its answers for this long is closed.
 const STUCK: Duration = Duration::from_secs(6);
-const IDLE: Duration = Duration::from_secs(30);
+/// Clients close their idle connections after 4 s; those who keep them for good hold descriptors for nothing.
+const IDLE: Duration = Duration::from_secs(5);
+/// A first message, and each that has begun, comes whole within this; silence and half a message are owed an end.
+const WHOLE: Duration = Duration::from_secs(2);
+/// For what a client whose stream cannot be read is told at last.
+const LAST_WORDS: Duration = Duration::from_millis(200);
 /// Memory kept for what a client sends.
 const READ_AT_ONCE: usize = 8 * 1024;
 
@@ -40,6 +47,27 @@
     pub door: Rc<Door>,
     pub decider: mpsc::Sender<Message>,
     pub phase: watch::Receiver<Phase>,
+    pub place: Place,
+}
+
+/// Why a connection ends.
+enum End {
+    /// It broke, or was closed by either side with nothing open.
+    Gone(String),
+    /// What came cannot be read or must not come: no more is read, and what is open is answered as failed.
+    Nonsense(&'static str),
+}
+
+impl From<io::Error> for End {
+    fn from(what: io::Error) -> End {
+        End::Gone(what.to_string())
+    }
+}
+
+impl From<Nonsense> for End {
+    fn from(what: Nonsense) -> End {
+        End::Nonsense(what.0)
+    }
 }
 
 /// Bytes to be written, with how many of them are an object's.
@@ -60,6 +88,13 @@
             .extend([head, body, Bytes::from_static(END)].into_iter().filter(|piece| !piece.is_empty()));
     }
 
+    async fn write(&mut self, writer: &mut (impl AsyncWriteExt + Unpin)) -> io::Result<()> {
+        let slices: Vec<IoSlice> = self.pieces.iter().take(16).map(|p| IoSlice::new(p)).collect();
+        let written = writer.write_vectored(&slices).await?;
+        self.advance(written);
+        Ok(())
+    }
+
     fn advance(&mut self, mut written: usize) {
         while let Some(piece) = self.pieces.front_mut().filter(|_| written > 0) {
             let part = piece.len().min(written);
@@ -73,13 +108,27 @@
 }
 
 impl Client {
-    pub async fn run(mut self, stream: TcpStream) {
+    pub async fn run(mut self, mut stream: TcpStream) {
         let mut open = HashMap::new();
         let mut unwritten = Unwritten::default();
         let (replies, mut mailbox) = mpsc::channel(REPLIES_MOST);
-        if let Err(what) = self.serve(stream, &replies, &mut mailbox, &mut open, &mut unwritten).await {
-            log::debug!("client: {what}");
+        match self.serve(&mut stream, &replies, &mut mailbox, &mut open, &mut unwritten).await {
+            Ok(()) => {}
+            Err(End::Gone(what)) => log::debug!("client: {what}"),
+            Err(End::Nonsense(what)) => {
+                log::debug!("client: {what}");
+                // Answered here, once: whatever comes for them from now on finds them closed.
+                for (tag, id) in open.drain() {
+                    let _ = self.decider.send(Message::Left(id, tag, replies.clone())).await;
+                    unwritten.line(tag, "FAIL", "");
+                }
+                let last = async {
+                    while !unwritten.pieces.is_empty() && unwritten.write(&mut stream).await.is_ok() {}
+                };
+                let _ = timeout(LAST_WORDS, last).await;
+            }
         }
+        drop(stream);
         // Bodies that nobody will read take no place any more.
         mailbox.close();
         while let Some(reply) = mailbox.recv().await {
@@ -93,16 +142,17 @@
 
     async fn serve(
         &mut self,
-        mut stream: TcpStream,
+        stream: &mut TcpStream,
         replies: &mpsc::Sender<Reply>,
         mailbox: &mut mpsc::Receiver<Reply>,
         open: &mut HashMap<u64, Id>,
         unwritten: &mut Unwritten,
-    ) -> Result<(), String> {
-        stream.set_nodelay(true).map_err(|e| e.to_string())?;
+    ) -> Result<(), End> {
+        stream.set_nodelay(true)?;
         let (mut reader, mut writer) = stream.split();
-        let (mut buffer, mut frames) = (BytesMut::with_capacity(READ_AT_ONCE), Frames::default());
+        let (mut buffer, mut frames) = (BytesMut::new(), Frames::default());
         let (mut moved, mut phase) = (Instant::now(), self.phase.clone());
+        let (mut begun, mut asked, mut said) = (None, false, (true, false));
         let mut ended = *self.phase.borrow() == Phase::Ended;
         loop {
             if ended {
@@ -113,11 +163,23 @@
                     return Ok(());
                 }
             }
-            let slices: Vec<IoSlice> = unwritten.pieces.iter().take(16).map(|p| IoSlice::new(p)).collect();
-            let patience = if slices.is_empty() { IDLE } else { STUCK };
+            let idle = open.is_empty() && unwritten.pieces.is_empty() && begun.is_none();
+            if (idle, asked) != said {
+                said = (idle, asked);
+                let word = Word { number: self.place.number, idle, asked };
+                let _ = self.place.says.send(word).await;
+            }
+            // What has come is read before anything is held against a client: the program itself may be late.
+            let wait = match begun {
+                _ if !unwritten.pieces.is_empty() => Some(moved + STUCK),
+                Some(since) => Some(since + WHOLE),
+                None if !open.is_empty() => None,
+                None => Some(moved + if asked { IDLE } else { WHOLE }),
+            };
             tokio::select! {
-                wrote = writer.write_vectored(&slices), if !slices.is_empty() => {
-                    unwritten.advance(wrote.map_err(|e| e.to_string())?);
+                biased;
+                wrote = unwritten.write(&mut writer), if !unwritten.pieces.is_empty() => {
+                    wrote?;
                     moved = Instant::now();
                     if unwritten.pieces.is_empty() && unwritten.object > 0 {
                         let _ = self.decider.send(Message::Written(std::mem::take(&mut unwritten.object))).await;
@@ -129,22 +191,31 @@
                     }
                     say(reply, open, unwritten);
                 }
-                read = reader.read_buf(&mut buffer), if !ended && unwritten.pieces.len() < UNWRITTEN_MOST => {
-                    if read.map_err(|e| e.to_string())? == 0 {
-                        return Err("closed".into());
+                _ = phase.wait_for(|phase| *phase == Phase::Ended), if !ended => ended = true,
+                read = read(&mut reader, &mut buffer), if !ended && unwritten.pieces.len() < UNWRITTEN_MOST => {
+                    if read? == 0 {
+                        return Err(End::Gone("closed".into()));
                     }
-                    moved = Instant::now();
                     let read_at = self.door.clock.now();
-                    while let Some(frame) = frames.next(&mut buffer).map_err(|e| e.0.to_string())? {
+                    while let Some(frame) = frames.next(&mut buffer)? {
+                        (moved, asked, begun) = (Instant::now(), true, None);
                         self.frame(frame, read_at, replies, open, unwritten).await?;
                     }
-                    if buffer.capacity() - buffer.len() < 1024 {
-                        buffer.reserve(READ_AT_ONCE);
+                    let partly = frames.begun() || !buffer.is_empty();
+                    begun = partly.then(|| begun.unwrap_or_else(Instant::now));
+                    if !partly {
+                        // Nobody knows when more comes: the memory is given back.
+                        buffer = BytesMut::new();
                     }
                 }
-                _ = phase.wait_for(|phase| *phase == Phase::Ended), if !ended => ended = true,
-                () = sleep_until(moved + patience), if !slices.is_empty() || open.is_empty() => {
-                    return Err("idle, or takes no answers".into());
+                Some(()) = self.place.leave.recv(), if idle => {
+                    return Err(End::Gone("idle, and its place is needed".into()));
+                }
+                () = at(wait) => {
+                    return Err(match begun {
+                        Some(_) if unwritten.pieces.is_empty() => End::Nonsense("no whole message in time"),
+                        _ => End::Gone("idle, or takes no answers".into()),
+                    });
                 }
             }
         }
@@ -157,10 +228,15 @@
         replies: &mpsc::Sender<Reply>,
         open: &mut HashMap<u64, Id>,
         unwritten: &mut Unwritten,
-    ) -> Result<(), String> {
+    ) -> Result<(), End> {
         let mut parts = frame.into_iter();
         let verb = parts.next().unwrap_or_default();
-        let tag = parts.next().and_then(|tag| number(&tag)).filter(|tag| *tag > 0).ok_or("no tag")?;
+        let tag = parts.next().and_then(|tag| number(&tag)).filter(|tag| *tag > 0);
+        let tag = tag.ok_or(End::Nonsense("no tag"))?;
+        if open.contains_key(&tag) && &verb[..] != b"ABORT" {
+            // Two answers under one tag could not be told apart: it gets one, and no more is read.
+            return Err(End::Nonsense("a tag in use"));
+        }
         match &verb[..] {
             b"HEALTH" => {
                 let ready = self.phase.borrow().ready();
@@ -175,16 +251,14 @@
                 let (category, list, body) = (parts.next(), parts.next(), parts.next());
                 let (category, list) = (category.unwrap_or_default(), list.unwrap_or_default());
                 let read = self.access(category, &list, body.unwrap_or_default());
-                let crowded = open.contains_key(&tag) || open.len() >= OPEN_MOST;
-                match read
-                    .and_then(|read| if crowded { Err("tag in use, or too many open") } else { Ok(read) })
-                {
+                let crowded = open.len() >= OPEN_MOST;
+                match read.and_then(|read| if crowded { Err("too many open") } else { Ok(read) }) {
                     Ok((arrival, passed)) => {
                         open.insert(tag, arrival.id.clone());
                         let client = replies.clone();
                         let new = New { arrival, passed, read_at, tag, client };
                         let sent = self.decider.send(Message::Access(Box::new(new))).await;
-                        sent.map_err(|_| "the router has ended")?;
+                        sent.map_err(|_| End::Gone("the router has ended".into()))?;
                     }
                     Err(what) => {
                         log::debug!("client: {what}");
@@ -226,6 +300,15 @@
     }
 }
 
+/// Waits until something has come before it takes memory for it: most connections say nothing most of the time.
+async fn read(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
+    reader.readable().await?;
+    if buffer.capacity() - buffer.len() < 1024 {
+        buffer.reserve(READ_AT_ONCE);
+    }
+    reader.read_buf(buffer).await
+}
+
 /// An id of 16 hex digits.
 fn hex(value: &[u8]) -> Result<Id, &'static str> {
     let fine = value.len() == 16 && value.iter().all(u8::is_ascii_hexdigit);
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -1,5 +1,6 @@
 //! Owns the decisions: hands them what happens, and does what they order. Nothing is decided here.
 
+use crate::brief::Brief;
 use crate::clock::Clock;
 use crate::lines::{Answer, Passed, ask};
 use crate::link::{Ask, Key};
@@ -117,6 +118,7 @@
     in_hand: usize,
     out: usize,
     object: f64,
+    refused: Brief,
 }
 
 impl Desk {
@@ -146,7 +148,8 @@
         });
         let post = self.posts.get(server).map(|post| post.orders.clone());
         if post.as_ref().is_none_or(|orders| orders.try_send(Order::Ask(ask)).is_err()) {
-            log::warn!("an execution for {server}, which is not listed or takes no more orders");
+            self.refused
+                .log(&format!("an execution for {server}, which is not listed or takes no more orders"));
             self.unsent.push_back(key);
         }
         taken.executions.push(Execution { server: post, sent: self.now, open: true });
@@ -190,6 +193,7 @@
     longest_hard_limit: Duration,
     /// For the servers' actors to answer to.
     messages: mpsc::Sender<Message>,
+    nonsense: Brief,
 }
 
 impl Decider {
@@ -213,6 +217,7 @@
             in_hand: 0,
             out: 0,
             object: OBJECT_MOST,
+            refused: Brief::default(),
         };
         Decider {
             router: Router::start(now, deployment, &mut desk),
@@ -224,6 +229,7 @@
             phase,
             longest_hard_limit: deployment.categories.iter().map(|c| c.hard_limit).max().unwrap_or_default(),
             messages,
+            nonsense: Brief::default(),
         }
     }
 
@@ -328,7 +334,7 @@
             let _ = client.try_send(Reply { tag, id: arrival.id.clone(), last });
         };
         if self.desk.accesses.contains_key(&arrival.id) {
-            log::info!("an access with an id that is in use");
+            self.nonsense.log("an access with an id that is in use");
             return refuse(Last::GivenUp);
         }
         // Rather an early decline than being killed for memory or losing count of what is open.
@@ -362,7 +368,7 @@
         if let Some(answer) = answer {
             (told.remark, told.first_byte, told.load) = (answer.remark, answer.first_byte, answer.load);
             if answer.same && unasked {
-                log::info!("a server says that a copy holds which nobody named");
+                self.nonsense.log("a server says that a copy holds which nobody named");
                 told.outcome = Outcome::Error;
             }
             if told.outcome == Outcome::Honoured {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,6 +1,7 @@
 //! `chalkhall-router`: one router on real sockets. Every decision is `chalkhall::control`'s.
 
 mod board;
+mod brief;
 mod client;
 mod clock;
 mod decider;
@@ -73,7 +74,7 @@
     drop(serving);
     log::info!("{} serves on {}", told.name, told.listen);
     // Clients hold a third of the descriptors at most; a few more may be on their way out.
-    let most = told.limits.sockets / 3 + 16;
+    let most = told.limits.sockets / 3;
     let door = Rc::new(Door { categories: told.categories.clone(), clock });
     let name = told.name.clone();
     spawn_local(reread(reload, told, clock, anew));
--- a/crates/router/src/resp.rs
+++ b/crates/router/src/resp.rs
@@ -2,10 +2,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-/// No array of the protocol has more parts.
-const PARTS_MOST: usize = 8;
-/// A write brings up to 48,000 bytes; a part longer than this is nonsense.
-pub const PART_MOST: usize = 64_000;
+/// The parts of the protocol's longest array, and the longest that each may be: verb, tag, category, fields, and
+/// a body, of which a write brings up to 48,000 bytes. What is longer is nonsense, refused before it takes memory.
+const PARTS_MOST: [usize; 5] = [16, 20, 64, 1_024, 64_000];
 /// The digits of a length, with room for leading zeros.
 const DIGITS_MOST: usize = 12;
 
@@ -24,14 +23,20 @@
 }
 
 impl Frames {
+    /// Something of a frame has come, but not all.
+    pub fn begun(&self) -> bool {
+        self.wanted.is_some()
+    }
+
     /// The next whole frame, its parts as the bytes that came.
     pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, Nonsense> {
         loop {
             let Some(wanted) = self.wanted else {
                 match head(buffer, b'*')? {
                     None => return Ok(None),
-                    Some(0) => continue,
-                    Some(n) if n > PARTS_MOST => return Err(Nonsense("an array of too many parts")),
+                    // Nothing answers an empty one, so a stream of them would go on for ever.
+                    Some(0) => return Err(Nonsense("an empty array")),
+                    Some(n) if n > PARTS_MOST.len() => return Err(Nonsense("an array of too many parts")),
                     some => self.wanted = some,
                 }
                 continue;
@@ -43,7 +48,7 @@
             let Some(length) = self.length else {
                 match head(buffer, b'$')? {
                     None => return Ok(None),
-                    Some(n) if n > PART_MOST => return Err(Nonsense("a part too long")),
+                    Some(n) if n > PARTS_MOST[self.parts.len()] => return Err(Nonsense("a part too long")),
                     some => self.length = some,
                 }
                 continue;
@@ -111,7 +116,7 @@
 
     #[test]
     fn frames_are_the_same_at_every_split() {
-        let stream = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$7\r\nsegment\r\n$5\r\ni=a,d\r\n$6\r\n\r\n$1\r\n\r\n*0\r\n*2\r\n$5\r\nABORT\r\n$1\r\n7\r\n";
+        let stream = b"*5\r\n$3\r\nREQ\r\n$1\r\n7\r\n$7\r\nsegment\r\n$5\r\ni=a,d\r\n$6\r\n\r\n$1\r\n\r\n*2\r\n$5\r\nABORT\r\n$1\r\n7\r\n";
         let whole = all(&mut Frames::default(), &mut BytesMut::from(&stream[..])).unwrap();
         assert_eq!(whole[0][4], &b"\r\n$1\r\n"[..]);
         assert_eq!(whole[1], [&b"ABORT"[..], b"7"]);
@@ -135,10 +140,14 @@
     fn nonsense_is_refused_before_it_takes_memory() {
         let bad = [
             "PING\r\n",
-            "*9\r\n",
+            "*6\r\n",
+            "*0\r\n",
             "*x\r\n",
             "*-1\r\n",
-            "*1\r\n$64001\r\n",
+            "*1\r\n$17\r\n",
+            "*2\r\n$1\r\na\r\n$21\r\n",
+            "*5\r\n$1\r\na\r\n$1\r\n1\r\n$1\r\na\r\n$1025\r\n",
+            "*5\r\n$1\r\na\r\n$1\r\n1\r\n$1\r\na\r\n$1\r\na\r\n$64001\r\n",
             "*1\r\n$1\r\nab\r\n",
             "*1\r\n:1\r\n",
             "*99999999999999999999",
