An error is laid to a server once another one honours the access; one break counts once

Requests of bad clients that look right are answered ERR by every server they come to; the module tried them at cache after cache and laid half of each error to the parent named as source (control.rs, learn). Checked and ruled out by a probe at judge, hold and learn: silence and late fills set nobody aside there; 97 breaks set three caches aside, since all that one connection carried counted one failure each. Change: an error is kept with its access and laid to server and source when another server honours that access; breaks within 100 ms at one server count as one. The id list keeps a hash of object and part in place of both (16 bytes less a key and one allocation less an entry). A decline at the door says when to come back. Guards also against requests that a deployment cannot serve; harm: a server that errs always while no other can serve is no longer set aside for it.

--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -340,7 +340,7 @@
         // Rather an early decline than being killed for memory or losing count of what is open.
         let bodies = self.desk.in_hand as f64 + (self.desk.out + 1) as f64 * self.desk.object;
         if bodies > self.bodies_most || self.desk.accesses.len() >= self.limits.open_accesses {
-            return refuse(Last::Declined(None));
+            return refuse(Last::Declined(self.router.advice));
         }
         arrival.left = arrival.left.saturating_sub(self.desk.now.saturating_sub(read_at));
         let taken = Taken { client: Some(client), tag, passed, executions: Vec::new() };
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,9 +1,7 @@
 //! Every decision of a router: where an access goes, what is kept and at which rank, what follows a failure.
-//!
-//! How to call it: `Router::start` once, then one method for each thing that happens (`list`, `access`,
-//! `result`, `begun`, `left`, `purged`, `wake`), each with the time since the start and the outlet through
-//! which the router acts. The types of these calls and the outlet are in `interface.rs`.
-//! Every execution passes `Router::send`, where the rules are enforced, and leaves a closure for its result.
+//! `Router::start` once, then one method for each thing that happens, each with the time since the start and the
+//! outlet through which the router acts (`interface.rs`). Every execution passes `Router::send`, where the rules
+//! are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
 use lru::LruCache;
@@ -30,8 +28,7 @@
 /// Share of a cold server's budget that the routers together use: capacities may be told roughly.
 const COLD_MARGIN: f64 = 0.45;
 
-/// What an answer takes beside its sending time, and the least multiple of both after which it is looked
-/// into: called off and honoured ones move it, so that one in twenty is called off where all is slow.
+/// What an answer takes beside its sending time; the multiple of both after which it is looked into.
 const OVERHEAD: Duration = Duration::from_millis(100);
 const PATIENCE: f64 = 3.0;
 const PATIENCE_GROWS: f64 = 1.2;
@@ -86,7 +83,6 @@
     count: u64,
     at: Duration,
     cost: Option<f64>,
-    /// The rank it was last given; 0: passed unkept.
     rank: u8,
     /// Its access was not honoured: the client's own retry is no new sighting.
     unmet: bool,
@@ -95,7 +91,8 @@
 }
 
 struct IdList {
-    seen: LruCache<(Id, u64), Seen>,
+    /// By a hash of object and part.
+    seen: LruCache<u64, Seen>,
     accesses: u64,
     scores: Recent,
     values: Recent,
@@ -109,11 +106,10 @@
 }
 
 impl IdList {
-    /// Counts a sighting and gives the rank at which a copy is kept; 0: passed unkept.
-    /// `shared`: a first sighting here is taken for a repeat at the location.
+    /// The rank at which a copy is kept; 0: passed unkept. `shared`: a first sighting is taken for a repeat.
     fn sight(&mut self, now: Duration, arrival: &Arrival, fresh: Option<Duration>, shared: bool) -> u8 {
         self.accesses += 1;
-        let key = (arrival.object.clone(), arrival.part);
+        let key = xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part);
         let count = self.accesses;
         let Some(seen) = self.seen.get_mut(&key) else {
             self.seen.put(key, Seen { count, at: now, ..Seen::default() });
@@ -144,14 +140,13 @@
     }
 
     fn known(&mut self, arrival: &Arrival) -> Option<&mut Seen> {
-        self.seen.peek_mut(&(arrival.object.clone(), arrival.part))
+        self.seen.peek_mut(&xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part))
     }
 }
 
 #[derive(Default)]
 struct Server {
     member: Member,
-    /// Work sent to it within the span of a fall.
     sent: VecDeque<(Duration, f64)>,
     kb_under_way: f64,
     out: u32,
@@ -159,9 +154,10 @@
     /// Log odds that it is broken; set aside: when its next execution is due, and how far apart they are.
     doubt: f64,
     aside: Option<(Duration, Duration)>,
-    /// Share of the fills from it that were in time, lately.
     in_time: f64,
     heard: Duration,
+    /// All that a connection carried breaks with it: until then that is one failure.
+    broke: Duration,
 }
 
 impl Server {
@@ -210,11 +206,11 @@
     ended: bool,
     /// The first execution that may have run: when, and where.
     ran: Option<(Duration, Id)>,
-
     failed: Vec<Id>,
+    /// Who answered it with an error, and how much of that is laid to each.
+    erred: Vec<(Id, f64)>,
 }
 
-/// The instance: one router of one location.
 #[derive(Default)]
 pub struct Router {
     location: usize,
@@ -227,7 +223,8 @@
     routers_here: f64,
     most_executions: usize,
     may_cancel: bool,
-    advice: Option<Duration>,
+    /// The wait that a declined client is advised, at the door too.
+    pub advice: Option<Duration>,
     purge_done: Duration,
     pass_through: bool,
     joins: bool,
@@ -327,7 +324,6 @@
         self.advance(turn, &id);
     }
 
-    /// The client left: nothing more is sent or owed.
     pub fn left(&mut self, now: Duration, id: &Id, out: &mut dyn Outlet) {
         self.accesses.get_mut(id).into_iter().for_each(|access| access.ended = true);
         self.close(&mut Turn { now, out }, id);
@@ -338,7 +334,6 @@
         self.accesses.get_mut(id).into_iter().for_each(|access| access.ended = true);
     }
 
-    /// An execution ended: what it left behind is handed the result.
     pub fn result(&mut self, now: Duration, id: &Id, execution: usize, ended: &Ended, out: &mut dyn Outlet) {
         let Some(access) = self.accesses.get_mut(id) else { return };
         let Some(next) = access.executions.get_mut(execution).and_then(|e| e.next.take()) else { return };
@@ -489,18 +484,13 @@
         }
         let Some((cold, share)) = self.cold.get(server.member.tier as usize) else { return true };
         let Some(age) = server.member.started.map(|at| now.saturating_sub(at)) else { return true };
-        if age >= cold.warm_within + cold.span {
-            return true;
-        }
         // What an earlier life of this router sent is not known to it.
-        if now < self.started + cold.span {
-            return false;
-        }
+        let known = now >= self.started + cold.span;
         let warm = (age.as_secs_f64() / cold.warm_within.as_secs_f64()).min(1.0);
         let present = server.member.capacity * (cold.from + (1.0 - cold.from) * warm);
         let bears = cold.multiple * present * cold.span.as_secs_f64() * share;
         let sent: f64 = server.sent.iter().filter(|(at, _)| *at + cold.span > now).map(|(_, w)| w).sum();
-        sent + self.weight(server, access) <= bears
+        age >= cold.warm_within + cold.span || known && sent + self.weight(server, access) <= bears
     }
 
     /// What an execution weighs there: at a cache the mean of its category, at a parent its own sending time.
@@ -534,8 +524,7 @@
     /// Rule 5: the oldest copy that will do, counted from the purge, and never zero: that would mean any age.
     fn oldest(&self, now: Duration, access: &Access) -> Option<Duration> {
         let fresh = self.categories[access.arrival.category].fresh;
-        let left = self.purge_done + self.margin;
-        let current = self.last_purge(access).filter(|at| now < *at + left);
+        let current = self.last_purge(access).filter(|at| now < *at + self.purge_done + self.margin);
         let since = current.map(|at| now.saturating_sub(at).max(Duration::from_micros(1)));
         since.into_iter().chain(fresh).min()
     }
@@ -598,9 +587,8 @@
         true
     }
 
-    /// Most executions have ended in this time. One whose server has answered others meanwhile is slow and is
-    /// waited for: to start it again would double the load. A server or source of which nothing was heard
-    /// since is judged as silent, and the access moves on; an overdue fill alone does not convict it.
+    /// One whose server answered others meanwhile is slow and waited for: anew it would double the load. A server
+    /// or source not heard of since is judged as silent; an overdue fill alone does not convict it.
     fn look_into(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
@@ -624,7 +612,7 @@
 
     fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, late: bool, ended: &Ended) {
         use Outcome::*;
-        let Some(access) = self.accesses.get(id) else { return };
+        let Some(access) = self.accesses.get_mut(id) else { return };
         let (kb, rank, work) = (access.arrival.kb, access.rank, access.work);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
         // A late fill is laid to its source by how seldom the best parent's are late: a full link delays all.
@@ -635,8 +623,14 @@
             (Honoured, _) => (1.0, if hit { 0.0 } else { telling }),
             (Broken, _) => (0.5, 0.0),
             (_, Remark::SourceUnreached) => (0.0, 1.0),
-            (Error | TimedOut, Remark::None) if filling => (0.5, 0.5),
-            (Unreachable, _) | (Error | TimedOut, Remark::None) => (1.0, 0.0),
+            // Perhaps the access's own fault: laid to them once another one has honoured it.
+            (Error, Remark::None) => {
+                let blamed = route.ends().take(1 + usize::from(filling));
+                access.erred.extend(blamed.map(|name| (name.clone(), if filling { 0.5 } else { 1.0 })));
+                (0.0, 0.0)
+            }
+            (TimedOut, Remark::None) if filling => (0.5, 0.5),
+            (Unreachable, _) | (TimedOut, Remark::None) => (1.0, 0.0),
             _ => (0.0, 0.0),
         };
         let failed = ended.outcome != Honoured;
@@ -652,7 +646,9 @@
             let heard = !silent && (*name == route.server || filled);
             server.heard = if heard { now } else { server.heard };
             server.in_time += f64::from(filled) * (f64::from(!late) - server.in_time) / 16.0;
-            if weight > 0.0 {
+            let broken = ended.outcome == Broken;
+            let counted = broken && std::mem::replace(&mut server.broke, now + OVERHEAD) > now;
+            if weight > 0.0 && !counted {
                 let late = late_hit || late && server.member.tier != Tier::Cache;
                 server.judge(now, failed || late, weight);
             }
@@ -666,6 +662,9 @@
         if failed {
             return;
         }
+        for (name, weight) in std::mem::take(&mut access.erred) {
+            self.servers.get_mut(&name).into_iter().for_each(|server| server.judge(now, true, weight));
+        }
         self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
         if access.first {
             self.shared += (f64::from(hit) - self.shared) / SIGHTINGS_BEFORE_GATE as f64;
