A member is crowded when it holds over twice what the others hold on average

A probe at hold, judge and follow showed 790 accesses declined because fills waited too long, all at one of three routers; the two others, behind the same parents and origin, declined none. That router's location had three caches, one drained at 5.2 s; of the two left one had 41 to 55 executions out and 64 of 658 fills late, the other 19 out and 1 of 909 late. The late fills of the one cut the limit of fills for all. Cause: pick in control.rs held a member's bytes against twice the average of all members. Of two, a > 2(a+b)/2 is never true, of three only where one holds twice what both others do. Checked and ruled out: link, parents and origin (the other routers' fills through them in time), silence (no fill called off), resets (0 breaks under most fills). Change: held against the average of the others. May hurt where two parents share a small load: an object moves to the other parent more often.

--- a/src/control.rs
+++ b/src/control.rs
@@ -91,7 +91,6 @@
 }
 
 struct IdList {
-    /// By a hash of object and part.
     seen: LruCache<u64, Seen>,
     accesses: u64,
     scores: Recent,
@@ -207,7 +206,6 @@
     /// The first execution that may have run: when, and where.
     ran: Option<(Duration, Id)>,
     failed: Vec<Id>,
-    /// Who answered it with an error, and how much of that is laid to each.
     erred: Vec<(Id, f64)>,
 }
 
@@ -239,7 +237,7 @@
     thens: HashMap<u64, Then>,
     last_mark: u64,
     purges: HashMap<Result<Id, u64>, Duration>,
-    /// By category: mean sending time, in seconds, and how many it is of.
+    /// Mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
     /// Likely fills out, how many may be, the last cut; when one last ended, how many lately, and how many late.
     fills_out: f64,
@@ -443,8 +441,10 @@
         let members = self.servers.values().filter(|s| near(s) && self.may_take(now, s, access));
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let average = open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>() / open.len().max(1) as f64;
-        let crowded = |s: &Server| s.out > 1 && s.kb_under_way > CROWDED * average;
+        // Of two, none ever holds over twice the average of both: the others' average counts.
+        let (all, n) = (open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>(), open.len() as f64);
+        let others = |s: &Server| (all - s.kb_under_way) / (n - 1.0).max(1.0);
+        let crowded = |s: &Server| s.out > 1 && s.kb_under_way > CROWDED * others(s);
         let fit = |s: &&Server| !access.failed.contains(&s.member.server) && (any || s.sound(now));
         let mut left = open.iter().map(|(_, s)| *s).filter(fit);
         left.clone().find(|s| !crowded(s)).or(left.next())
