An answer that stops short ends its connection, and an id goes out once on a connection

Change: an answer that has begun is whole, or goes on coming, within ConnectTimeout, else its connection ends and all on it may have run; one that nobody waits for any more gets that long in all. Every id that was out on a connection is not used there again. A connection without an answer in hand holds no buffer. Tests an_answer_that_stops_short and a_trickle_that_nobody_wants: seen to fail without the change; the id test goes through the end of an execution now.

--- a/crates/router/src/lines.rs
+++ b/crates/router/src/lines.rs
@@ -119,6 +119,11 @@
 }
 
 impl Answers {
+    /// Whose answer has come in part.
+    pub fn coming(&self) -> Option<&Bytes> {
+        self.begun.as_ref().map(|(answer, _)| &answer.id)
+    }
+
     pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Answer>, Nonsense> {
         loop {
             if let Some((_, length)) = &self.begun {
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -12,10 +12,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpStream, tcp::ReadHalf};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
+const READ_AT_ONCE: usize = 16 * 1024;
+const LEAST_READ: usize = 1024;
 /// No descriptor left to the process, or to the system.
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
@@ -197,39 +199,60 @@
 
     async fn serve(&mut self, mut stream: TcpStream, state: &mut State) -> Result<(), String> {
         let (mut reader, mut writer) = stream.split();
-        let (mut buffer, mut answers) = (BytesMut::with_capacity(16 * 1024), Answers::default());
+        let (mut buffer, mut answers) = (BytesMut::new(), Answers::default());
+        // When an answer that is not whole yet began to come.
+        let mut begun: Option<Instant> = None;
         loop {
             let now = Instant::now();
             state.expire(now);
             state.fill(now);
             self.tell(state).await;
             let due = state.next_due();
+            // One that stops short holds up all behind it, and one that nobody wants any more may trickle for ever.
+            let wanted = answers.coming().is_some_and(|id| state.out.contains_key(id));
+            let last = if wanted { state.heard } else { begun };
+            let stops = begun.and(last).map(|last| last + self.connect_timeout);
             tokio::select! {
-                read = reader.read_buf(&mut buffer) => {
+                biased;
+                wrote = writer.write(&state.writing), if !state.writing.is_empty() => {
+                    state.writing.advance(wrote.map_err(|e| e.to_string())?);
+                }
+                order = self.orders.recv() => match order {
+                    Some(order) => state.take(order),
+                    None => return Ok(()),
+                },
+                read = read(&mut reader, &mut buffer) => {
                     if read.map_err(|e| e.to_string())? == 0 {
                         return Err("closed by the server".into());
                     }
                     state.heard = Some(Instant::now());
                     while let Some(answer) = answers.next(&mut buffer).map_err(|e| e.0.to_string())? {
                         state.answer(answer);
+                        begun = None;
                     }
-                    if buffer.is_empty() && buffer.capacity() < 4 * 1024 {
-                        buffer.reserve(16 * 1024);
+                    if answers.coming().is_some() || !buffer.is_empty() {
+                        begun = begun.or(state.heard);
+                    } else {
+                        // A body that is passed on keeps the buffer in which it came.
+                        buffer = BytesMut::new();
                     }
                 }
-                wrote = writer.write(&state.writing), if !state.writing.is_empty() => {
-                    state.writing.advance(wrote.map_err(|e| e.to_string())?);
-                }
-                order = self.orders.recv() => match order {
-                    Some(order) => state.take(order),
-                    None => return Ok(()),
-                },
+                () = at(stops) => return Err("an answer that stopped short".into()),
                 () = at(due) => {}
             }
         }
     }
 }
 
+/// Waits until something has come before it takes memory for it.
+async fn read(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
+    reader.readable().await?;
+    if buffer.capacity() - buffer.len() < LEAST_READ {
+        buffer.reserve(READ_AT_ONCE);
+    }
+    reader.read_buf(buffer).await
+}
+
 /// Nothing ran either way; but where this program has no descriptor left the server is not to blame.
 fn not_connected(what: &io::Error) -> Outcome {
     match what.raw_os_error() {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -3,7 +3,6 @@
 use crate::decider::{Ended, Message};
 use crate::lines::Answer;
 use crate::link::{Ask, Key, Link, LinkOrder};
-use bytes::Bytes;
 use chalkhall::interface::{Id, Outcome};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -16,8 +15,8 @@
 const SHARED_FROM: usize = 4;
 /// Orders waiting for one connection; more are reported never sent.
 const ORDERS_MOST: usize = 256;
-/// Ids of which an answer may still come that nobody wants.
-const QUIT_IDS_MOST: usize = 256;
+/// Ids that were out on a connection and of which another answer may come that nobody wants.
+const OLD_IDS_MOST: usize = 256;
 
 pub enum Order {
     Ask(Box<Ask>),
@@ -45,8 +44,8 @@
     /// Takes nothing new: it fell silent, or stands idle, or leads elsewhere.
     retired: bool,
     used: Instant,
-    /// An answer to one of these that crossed its QUIT would pass for that to a later execution.
-    quit: VecDeque<Bytes>,
+    /// An answer to one of these that crossed its QUIT, or a second copy, would pass for that to a later execution.
+    old: VecDeque<Id>,
 }
 
 pub struct Server {
@@ -65,7 +64,7 @@
 struct Hands {
     links: Vec<Held>,
     last: u64,
-    out: HashMap<Key, (u64, Bytes)>,
+    out: HashMap<Key, u64>,
 }
 
 impl Server {
@@ -102,7 +101,7 @@
                 }
             }
             Order::Quit(key) => {
-                let Some((number, _)) = hands.out.get(&key) else { return };
+                let Some(number) = hands.out.get(&key) else { return };
                 // Where the connection takes no orders its end is on the way.
                 if let Some(link) = hands.links.iter().find(|l| l.number == *number) {
                     let _ = link.orders.try_send(LinkOrder::Quit(key));
@@ -119,16 +118,18 @@
             }
             Order::Link(number, Report::Down) => hands.links.retain(|l| l.number != number),
             Order::Link(number, Report::Ended { key, outcome, answer, silent }) => {
-                let Some((_, id)) = hands.out.remove(&key) else { return };
+                if hands.out.remove(&key).is_none() {
+                    return;
+                }
                 if let Some(link) = hands.links.iter_mut().find(|l| l.number == number) {
                     link.open -= 1;
                     link.used = Instant::now();
                     // A machine that vanished says nothing; a new connection to it will not come up, which
                     // proves that nothing ran.
                     link.retired |= silent;
-                    if matches!(outcome, Outcome::TimedOut | Outcome::Cancelled) {
-                        link.quit.push_back(id);
-                        link.quit.drain(..link.quit.len().saturating_sub(QUIT_IDS_MOST));
+                    if outcome != Outcome::NeverSent {
+                        link.old.push_back(key.0.clone());
+                        link.old.drain(..link.old.len().saturating_sub(OLD_IDS_MOST));
                     }
                 }
                 self.end(key, outcome, answer).await;
@@ -138,10 +139,10 @@
 
     /// Hands an execution to the least busy connection that may take it. False: there is none.
     fn pass(&mut self, hands: &mut Hands, mut ask: Box<Ask>) -> bool {
-        let (key, id) = (ask.key.clone(), ask.passed.id.clone());
+        let key = ask.key.clone();
         // A connection that broke a moment ago takes no orders; the next one may.
         for _ in 0..=self.connections_most {
-            let usable = |l: &Held| !l.retired && l.open < self.streams && !l.quit.contains(&id);
+            let usable = |l: &Held| !l.retired && l.open < self.streams && !l.old.contains(&key.0);
             let best = |links: &[Held]| {
                 let usable = links.iter().enumerate().filter(|(_, l)| usable(l));
                 usable.min_by_key(|(_, l)| (!l.up, l.open)).map(|(at, _)| at)
@@ -161,7 +162,7 @@
                 Ok(()) => {
                     link.open += 1;
                     link.used = Instant::now();
-                    hands.out.insert(key, (link.number, id));
+                    hands.out.insert(key, link.number);
                     return true;
                 }
                 Err(mpsc::error::TrySendError::Closed(LinkOrder::Ask(back))) => {
@@ -178,7 +179,7 @@
         hands.last += 1;
         let (orders, receiver) = mpsc::channel(ORDERS_MOST);
         let now = Instant::now();
-        let (number, quit) = (hands.last, VecDeque::new());
+        let (number, old) = (hands.last, VecDeque::new());
         hands.links.push(Held {
             number,
             orders,
@@ -187,7 +188,7 @@
             made: now,
             retired: false,
             used: now,
-            quit,
+            old,
         });
         let link = Link {
             number,
@@ -205,10 +206,10 @@
 mod tests {
     use super::*;
     use crate::lines::Passed;
-    use bytes::BytesMut;
+    use bytes::{Bytes, BytesMut};
 
     #[tokio::test(flavor = "current_thread")]
-    async fn an_id_called_off_does_not_come_again_on_its_connection() {
+    async fn an_id_that_was_out_does_not_come_again_on_its_connection() {
         let (orders_of_links, _from_links) = mpsc::channel(8);
         let (_orders, orders) = mpsc::channel(8);
         let (decider, _messages) = mpsc::channel(8);
@@ -237,10 +238,12 @@
             hands.links[0].up = true;
             assert!(server.pass(&mut hands, ask()));
             assert_eq!(hands.links.len(), 1, "shared while it may be");
-            hands.links[0].quit.push_back(Bytes::from_static(b"a"));
+            let key: Key = ("a".into(), 0);
+            let ended = Report::Ended { key, outcome: Outcome::Honoured, answer: None, silent: false };
+            server.order(&mut hands, Order::Link(1, ended)).await;
             assert!(server.pass(&mut hands, ask()));
             let open: Vec<usize> = hands.links.iter().map(|link| link.open).collect();
-            assert_eq!(open, [1, 1], "a late answer would pass for the second one's");
+            assert_eq!(open, [0, 1], "a second copy would pass for the second one's");
         });
         inside.await;
     }
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -147,6 +147,51 @@
     assert_eq!(client.word(), "FAIL");
 }
 
+#[test]
+fn an_answer_that_stops_short_ends_all_on_its_connection() {
+    let mut world = World::new();
+    world.file["settings"]["Limits"]["ConnectTimeout"] = json!(100);
+    world.servers.push(Server::new("c2", "cache"));
+    let program = world.start();
+    let mut client = program.client();
+    // Of one object, so both go to one cache.
+    client.ask(1, "page", "m=100", b"");
+    client.send(&[b"REQ", b"2", b"page", b"i=00000000000000ff,o=0000000000000001,m=1,d=4000,lot=1", b""]);
+    let (home, mut server) = world.first();
+    let other = if home == "c1" { "c2" } else { "c1" };
+    let asked = [server.asked(), server.asked()];
+    let begun = Instant::now();
+    server.say(format!("{} OK {HIT} 240000\r\nhalf", asked[0].id));
+    // Both are executed elsewhere, long before their time is up, and the connection is gone.
+    let mut second = world.server(other).accept();
+    second.serve(b"x");
+    second.serve(b"x");
+    assert_eq!((client.word(), client.word()), ("ACK".into(), "ACK".into()));
+    assert!(begun.elapsed() < Duration::from_millis(1000), "{:?}", begun.elapsed());
+    assert_eq!(server.line(), "");
+}
+
+#[test]
+fn a_trickle_that_nobody_wants_ends_its_connection() {
+    let mut world = World::new();
+    world.file["settings"]["Limits"]["ConnectTimeout"] = json!(100);
+    let program = world.start();
+    let mut client = program.client();
+    let id = client.ask(1, "page", "d=300", b"");
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    server.say(format!("{} OK {HIT} 240000\r\n", asked.id));
+    until("the end of its time", || {
+        server.say("x");
+        client.ready()
+    });
+    assert_eq!(client.word(), "NAK");
+    assert_eq!(server.line(), format!("QUIT {id}"));
+    let late = Instant::now();
+    until("a close", || !server.still_takes("x"));
+    assert!(late.elapsed() < Duration::from_secs(2), "{:?}", late.elapsed());
+}
+
 #[test]
 fn silence_ends_in_time_and_its_connection_takes_nothing_new() {
     let (world, _program, mut client) = started();
--- a/crates/router/tests/stand_ins/mod.rs
+++ b/crates/router/tests/stand_ins/mod.rs
@@ -41,19 +41,27 @@
     }
 }
 
-fn accept(listener: &TcpListener) -> TcpStream {
+/// A connection that is there.
+fn taken(listener: &TcpListener) -> Option<TcpStream> {
     listener.set_nonblocking(true).unwrap();
-    let mut taken = None;
-    until("a connection", || {
-        taken = listener.accept().ok();
-        taken.is_some()
-    });
-    let stream = taken.unwrap().0;
+    let (stream, _) = listener.accept().ok()?;
     stream.set_nonblocking(false).unwrap();
     stream.set_read_timeout(Some(LONG)).unwrap();
-    stream
+    Some(stream)
+}
+
+fn accept(listener: &TcpListener) -> TcpStream {
+    let mut stream = None;
+    until("a connection", || {
+        stream = taken(listener);
+        stream.is_some()
+    });
+    stream.unwrap()
 }
 
+/// What a good answer for a copy holds.
+pub const HIT: &str = "tell=hit,etag=4be0c1927d55a6f3,made=1";
+
 /// One connection with lines of words: a server's or the board's end of it.
 pub struct Line {
     reader: BufReader<TcpStream>,
@@ -77,6 +85,11 @@
         self.reader.get_mut().write_all(text.as_ref()).unwrap();
     }
 
+    /// False once the other side has closed.
+    pub fn still_takes(&mut self, text: &str) -> bool {
+        self.reader.get_mut().write_all(text.as_bytes()).is_ok()
+    }
+
     pub fn asked(&mut self) -> Asked {
         let line = self.line();
         let words: Vec<&str> = line.split(' ').collect();
@@ -92,7 +105,7 @@
     /// Takes a request and answers it as a hit.
     pub fn serve(&mut self, body: &[u8]) {
         let asked = self.asked();
-        self.answer(&asked, "OK", "tell=hit", body);
+        self.answer(&asked, "OK", HIT, body);
     }
 
     pub fn answer(&mut self, asked: &Asked, word: &str, fields: &str, body: &[u8]) {
@@ -220,6 +233,15 @@
         line.trim_end().strip_prefix('$').unwrap().parse().unwrap()
     }
 
+    /// Something has come.
+    pub fn ready(&mut self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let come = stream.peek(&mut [0]).is_ok();
+        stream.set_nonblocking(false).unwrap();
+        come
+    }
+
     pub fn word(&mut self) -> String {
         self.answer().1
     }
@@ -319,6 +341,17 @@
         Program { child, listen: self.listen }
     }
 
+    /// The first connection to any server, and to which.
+    pub fn first(&self) -> (&str, Line) {
+        let mut found = None;
+        until("a connection to any server", || {
+            found = self.servers.iter().find_map(|s| Some((s.name.as_str(), taken(&s.listener)?)));
+            found.is_some()
+        });
+        let (name, stream) = found.unwrap();
+        (name, Line::new(stream))
+    }
+
     /// Starts the program and waits until it is ready.
     pub fn start(&mut self) -> Program {
         let program = self.spawn("");
