What must not run twice takes no connection that stood idle

Servers let go of idle connections long before IdleClose and say so only under a request. A read goes elsewhere; what must not run twice has failed. server.rs chose by load alone, whatever stood idle. Change: such an execution goes on a connection used within 50 ms or carrying something, else on a new one; where the bound of connections is reached idle ones are let go for it. Test what_must_not_run_twice_takes_no_connection_that_stood_idle: without the change its last accept waits in vain. Costs a handshake where writes are rare.

--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use chalkhall::control::Router;
 use chalkhall::interface::{
-    self, Arrival, Deployment, Fill, Id, ListKind, Member, Outcome, Outlet, Standing,
+    self, Arrival, Deployment, Effect, Fill, Id, ListKind, Member, Outcome, Outlet, Standing,
 };
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -86,6 +86,8 @@
     client: Option<mpsc::Sender<Reply>>,
     tag: u64,
     passed: Passed,
+    /// It must not run twice.
+    once: bool,
     executions: Vec<Execution>,
 }
 
@@ -143,6 +145,7 @@
             key: key.clone(),
             passed: taken.passed.clone(),
             line: ask(&taken.passed, server, limit, fill),
+            once: taken.once,
             due: self.clock.instant(self.now + limit),
             leave_by: self.clock.instant(self.now + self.leave_within),
         });
@@ -186,6 +189,8 @@
     router: Router,
     desk: Desk,
     limits: Limits,
+    /// By category: whether its accesses must not run twice.
+    once: Vec<bool>,
     /// Bodies in hand, present and to come, past which new accesses are declined at the door.
     bodies_most: f64,
     idle: Duration,
@@ -222,6 +227,7 @@
         Decider {
             router: Router::start(now, deployment, &mut desk),
             desk,
+            once: deployment.categories.iter().map(|c| c.effect == Effect::Unrepeatable).collect(),
             bodies_most: limits.memory as f64 / 2.0,
             // Idle connections are closed before the other side does.
             idle: limits.idle_close.mul_f64(0.8),
@@ -343,7 +349,8 @@
             return refuse(Last::Declined(self.router.advice));
         }
         arrival.left = arrival.left.saturating_sub(self.desk.now.saturating_sub(read_at));
-        let taken = Taken { client: Some(client), tag, passed, executions: Vec::new() };
+        let once = self.once.get(arrival.category) == Some(&true);
+        let taken = Taken { client: Some(client), tag, passed, once, executions: Vec::new() };
         self.desk.accesses.insert(arrival.id.clone(), taken);
         self.router.access(self.desk.now, arrival, &mut self.desk);
     }
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -31,6 +31,8 @@
     pub key: Key,
     pub passed: Passed,
     pub line: BytesMut,
+    /// It must not run twice: where its connection breaks, it has failed.
+    pub once: bool,
     /// When it has taken too long, and when its first byte must have left.
     pub due: Instant,
     pub leave_by: Instant,
@@ -277,7 +279,14 @@
         let passed = Passed { id: Bytes::from_static(id.as_bytes()), ..Passed::default() };
         let now = Instant::now();
         let line = BytesMut::from("ASK");
-        Box::new(Ask { key: (id.into(), 0), passed, line, due: now + due, leave_by: now + leave_by })
+        Box::new(Ask {
+            key: (id.into(), 0),
+            passed,
+            line,
+            once: false,
+            due: now + due,
+            leave_by: now + leave_by,
+        })
     }
 
     fn ends(state: &mut State) -> Vec<(String, Outcome)> {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -13,6 +13,9 @@
 
 /// A second connection is opened where the least busy one carries this many.
 const SHARED_FROM: usize = 4;
+/// What must not run twice goes on a connection that was in use this lately, or on a new one: a server may have let
+/// go of one that stands idle, long before it should, and says so only when a request has been written.
+const FRESH: Duration = Duration::from_millis(50);
 /// Orders waiting for one connection; more are reported never sent.
 const ORDERS_MOST: usize = 256;
 /// Ids that were out on a connection and of which another answer may come that nobody wants.
@@ -139,10 +142,13 @@
 
     /// Hands an execution to the least busy connection that may take it. False: there is none.
     fn pass(&mut self, hands: &mut Hands, mut ask: Box<Ask>) -> bool {
-        let key = ask.key.clone();
+        let (key, once, now) = (ask.key.clone(), ask.once, Instant::now());
+        let fresh = |l: &Held| l.open > 0 || now < l.used + FRESH;
         // A connection that broke a moment ago takes no orders; the next one may.
         for _ in 0..=self.connections_most {
-            let usable = |l: &Held| !l.retired && l.open < self.streams && !l.old.contains(&key.0);
+            let usable = |l: &Held| {
+                !l.retired && l.open < self.streams && !l.old.contains(&key.0) && (fresh(l) || !once)
+            };
             let best = |links: &[Held]| {
                 let usable = links.iter().enumerate().filter(|(_, l)| usable(l));
                 usable.min_by_key(|(_, l)| (!l.up, l.open)).map(|(at, _)| at)
@@ -151,6 +157,10 @@
             let crowded = found.is_none_or(|at| hands.links[at].open >= SHARED_FROM);
             let connecting = hands.links.iter().any(|l| !l.up && !l.retired);
             if found.is_none() || crowded && !connecting && hands.links.len() < self.connections_most {
+                if once && hands.links.len() >= self.connections_most {
+                    hands.links.iter_mut().for_each(|l| l.retired |= !fresh(l));
+                    hands.links.retain(|l| !(l.retired && l.open == 0));
+                }
                 // Past the bound only where no other can take it: silent ones still hold descriptors.
                 if hands.links.len() >= self.connections_most * 2 {
                     return false;
@@ -229,7 +239,8 @@
         let ask = || {
             let (id, due) = (Bytes::from_static(b"a"), Instant::now() + wait);
             let passed = Passed { id, ..Passed::default() };
-            Box::new(Ask { key: ("a".into(), 0), passed, line: BytesMut::new(), due, leave_by: due })
+            let (key, line) = (("a".into(), 0), BytesMut::new());
+            Box::new(Ask { key, passed, line, once: false, due, leave_by: due })
         };
         let local = tokio::task::LocalSet::new();
         let inside = local.run_until(async move {
--- a/crates/router/tests/program.rs
+++ b/crates/router/tests/program.rs
@@ -239,6 +239,31 @@
     assert!(came.is_empty(), "{}", String::from_utf8_lossy(&came));
 }
 
+#[test]
+fn what_must_not_run_twice_takes_no_connection_that_stood_idle() {
+    let (world, _program, mut client) = started();
+    client.ask(1, "confirm", "", b"");
+    let mut idle = world.server("o1").accept();
+    let asked = idle.asked();
+    idle.answer(&asked, "OK", "tell=via_origin", b"one");
+    assert_eq!(client.word(), "ACK");
+    // While one is in use it serves for the next too.
+    client.ask(2, "confirm", "", b"");
+    let asked = idle.asked();
+    client.ask(3, "confirm", "", b"");
+    let third = idle.asked();
+    idle.answer(&asked, "OK", "tell=via_origin", b"two");
+    idle.answer(&third, "OK", "tell=via_origin", b"three");
+    assert_eq!((client.word(), client.word()), ("ACK".into(), "ACK".into()));
+    let since = Instant::now();
+    until("a while", || since.elapsed() > Duration::from_millis(100));
+    client.ask(4, "confirm", "", b"");
+    let mut new = world.server("o1").accept();
+    let asked = new.asked();
+    new.answer(&asked, "OK", "tell=via_origin", b"four");
+    assert_eq!(client.word(), "ACK");
+}
+
 #[test]
 fn idle_connections_are_closed_before_the_server_does() {
     let mut world = World::new();
