A late fill is laid to its cache too, where the best cache's fills are in time

Each late fill cut the limit of fills for all three, down to 9 where 26 stood free. Cause: learn in control.rs laid a late fill to its parent alone, so a slow cache was never set aside for it, and fill_ended cut the limit for lateness that the links had no part in. Checked and ruled out: parents (the other routers' fills through them in time), crowding (10 to 13 out at each cache). Change: the test of the best in the tier holds for caches as well, for one cache at a time, since set aside one after the other the last would bear all; a fill that ends at a cache set aside does not cut the limit. May hurt where all caches are overloaded unequally.

--- a/src/control.rs
+++ b/src/control.rs
@@ -1,7 +1,6 @@
-//! Every decision of a router: where an access goes, what is kept and at which rank, what follows a failure.
-//! `Router::start` once, then one method for each thing that happens, each with the time since the start and the
-//! outlet through which the router acts (`interface.rs`). Every execution passes `Router::send`, where the rules
-//! are enforced, and leaves a closure for its result.
+//! Every decision of a router. `Router::start` once, then one method for each thing that happens, each with the time
+//! since the start and the outlet through which the router acts (`interface.rs`). Every execution passes
+//! `Router::send`, where the rules are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
 use lru::LruCache;
@@ -47,7 +46,6 @@
 const ADVICE: Duration = Duration::from_millis(200);
 const LIST_AGAIN: Duration = Duration::from_millis(1000);
 
-/// What a router still does when a time comes, and what it makes of an execution's end.
 type Then = Box<dyn FnOnce(&mut Router, &mut Turn)>;
 type Next = Box<dyn FnOnce(&mut Router, &mut Turn, &Ended)>;
 
@@ -84,7 +82,6 @@
     at: Duration,
     cost: Option<f64>,
     rank: u8,
-    /// Its access was not honoured: the client's own retry is no new sighting.
     unmet: bool,
     /// The cache that last answered from a copy of it, or was told to keep one, and when.
     held: Option<(Id, Duration)>,
@@ -164,7 +161,6 @@
         self.aside.is_none_or(|(due, _)| now >= due)
     }
 
-    /// One step of the sequential test; `weight` is how much of the outcome is laid to this server.
     fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
         self.doubt =
             (self.doubt + weight * if failed { FAILURE_ADDS } else { SUCCESS_ADDS }).clamp(0.0, BROKEN_AT);
@@ -203,7 +199,6 @@
     executions: Vec<Execution>,
     open: usize,
     ended: bool,
-    /// The first execution that may have run: when, and where.
     ran: Option<(Duration, Id)>,
     failed: Vec<Id>,
     erred: Vec<(Id, f64)>,
@@ -342,7 +337,6 @@
         self.close(turn, id);
     }
 
-    /// A purge is remembered until no older copy can be left anywhere.
     pub fn purged(&mut self, now: Duration, object: Option<Id>, group: u64, ago: Duration) {
         let (at, left) = (now.saturating_sub(ago), self.purge_done + self.margin);
         self.purges.retain(|_, purge| now < *purge + left);
@@ -493,7 +487,6 @@
         age >= cold.warm_within + cold.span || known && sent + self.weight(server, access) <= bears
     }
 
-    /// What an execution weighs there: at a cache the mean of its category, at a parent its own sending time.
     fn weight(&self, server: &Server, access: &Access) -> f64 {
         let mean = self.mean_work[access.arrival.category].0;
         if server.member.tier == Tier::Cache { mean } else { access.work.as_secs_f64() }
@@ -615,12 +608,18 @@
         let Some(access) = self.accesses.get_mut(id) else { return };
         let (kb, rank, work) = (access.arrival.kb, access.rank, access.work);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
-        // A late fill is laid to its source by how seldom the best parent's are late: a full link delays all.
-        let parents = self.servers.values().filter(|s| s.member.tier == Tier::Parent);
-        let usual = 1.0 - parents.map(|s| s.in_time).fold(0.0, f64::max);
-        let telling = (0.5 / usual).log10().clamp(0.0, 1.0);
+        // A late fill is laid to an end by how seldom the best of its tier is late (a full link delays all), and to
+        // one cache at a time: with one set aside after the other, the last would have to bear it all.
+        let telling = [Tier::Cache, Tier::Parent].map(|tier| {
+            let all = self.servers.iter().filter(|(_, s)| s.member.tier == tier);
+            let others = all.clone().any(|(name, s)| s.aside.is_some() && *name != route.server);
+            let best = all.map(|(_, s)| s.in_time).fold(0.0, f64::max);
+            f64::from(tier == Tier::Parent || !others) * (0.5 / (1.0 - best)).log10().clamp(0.0, 1.0)
+        });
         let (at_server, at_source) = match (ended.outcome, ended.remark) {
-            (Honoured, _) => (1.0, if hit { 0.0 } else { telling }),
+            (Honoured, _) if hit => (1.0, 0.0),
+            (Honoured, _) if late && route.source != route.server => (telling[0], telling[1]),
+            (Honoured, _) => (1.0, telling[1]),
             (Broken, _) => (0.5, 0.0),
             (_, Remark::SourceUnreached) => (0.0, 1.0),
             // Perhaps the access's own fault: laid to them once another one has honoured it.
@@ -649,7 +648,7 @@
             let broken = ended.outcome == Broken;
             let counted = broken && std::mem::replace(&mut server.broke, now + OVERHEAD) > now;
             if weight > 0.0 && !counted {
-                let late = late_hit || late && server.member.tier != Tier::Cache;
+                let late = late_hit || late && (filled || server.member.tier != Tier::Cache);
                 server.judge(now, failed || late, weight);
             }
         }
@@ -682,9 +681,10 @@
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
         self.learn(turn.now, id, route, filling, turn.now > soft, ended);
         if filling {
-            // A dead server or source, or a broken connection, says nothing of how many the links bear.
+            // A server that is dead or set aside, or a broken connection, says nothing of what the links bear.
             let dead = matches!(ended.outcome, Cancelled | Missing | Broken)
-                || ended.remark == Remark::SourceUnreached;
+                || ended.remark == Remark::SourceUnreached
+                || self.servers.get(&route.server).is_some_and(|s| s.aside.is_some());
             self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         let Some(access) = self.accesses.get_mut(id) else { return };
