An answer that never comes is given up after twice the patience, whoever else is answered

Cause: look_into in control.rs looked once, and not again where the server had answered others since; a lost answer held its fill's place until the client's time was up and then cut the limit. Checked and ruled out: slow cache, full link, the release, silence (write-up). Change: it looks again; out twice as long, the execution is called off and goes elsewhere, and patience grows.

--- a/src/control.rs
+++ b/src/control.rs
@@ -33,7 +33,6 @@
 const PATIENCE_GROWS: f64 = 1.2;
 const PATIENCE_MOST: f64 = 100.0;
 const PATIENCE_FALLS: f64 = 0.99;
-/// A hit that takes this multiple of its usual counts as failed.
 const SLOW_HIT: f64 = 2.0;
 
 /// Fills under way: one more allowed for as many as end in time; a cut, so often, when over a share are late.
@@ -147,7 +146,7 @@
     kb_under_way: f64,
     out: u32,
 
-    /// Log odds that it is broken; set aside: when its next execution is due, and how far apart they are.
+    /// Log odds that it is broken; set aside: when the next execution is due, and their distance.
     doubt: f64,
     aside: Option<(Duration, Duration)>,
     in_time: f64,
@@ -580,27 +579,28 @@
         true
     }
 
-    /// One whose server answered others meanwhile is slow and waited for: anew it would double the load. A server
-    /// or source not heard of since is judged as silent; an overdue fill alone does not convict it.
+    /// A server not heard of since is judged as silent, but not for one overdue fill. One that answered others is
+    /// slow: anew would double the load. After as long again its answer is lost, and would hold a fill's place.
     fn look_into(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
         // A copy would have been sent by now: it is being filled after all.
         let filling = std::mem::replace(&mut execution.filling, true);
         self.fills_out += f64::from(!filling);
-        for name in route.ends() {
-            if let Some(server) = self.servers.get_mut(name).filter(|s| s.heard < sent) {
-                server.judge(turn.now, true, 1.0);
-                if filling && server.aside.is_none() {
-                    let (id, route, wait) = (id.clone(), route.clone(), turn.now - sent);
-                    let again: Then = Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent));
-                    return self.after(turn, wait, again);
-                }
-                access.failed.push(name.clone());
-                self.patience = (self.patience * PATIENCE_GROWS).min(PATIENCE_MOST);
-                return turn.out.cancel(id, n);
-            }
-        }
+        let usual = (OVERHEAD + access.work).mul_f64(self.patience);
+        let silent = route.ends().find(|name| self.servers.get(*name).is_some_and(|s| s.heard < sent));
+        let mut waits = silent.is_none() && turn.now < sent + usual * 2;
+        if let Some(server) = silent.and_then(|name| self.servers.get_mut(name)) {
+            server.judge(turn.now, true, 1.0);
+            waits = filling && server.aside.is_none();
+        }
+        if waits {
+            let (id, route, wait) = (id.clone(), route.clone(), turn.now - sent);
+            return self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)));
+        }
+        access.failed.push(silent.unwrap_or(&route.server).clone());
+        self.patience = (self.patience * PATIENCE_GROWS).min(PATIENCE_MOST);
+        turn.out.cancel(id, n)
     }
 
     fn learn(&mut self, now: Duration, id: &Id, route: &Route, filling: bool, late: bool, ended: &Ended) {
