A few transfers are no crowd: four out or fewer do not move an object

Cause: pick in control.rs, since the crowd is held against the others' average: with four to eight out over several members chance alone doubles one, and each object that moves costs a fill. Change: a crowd has more than four of this router's transfers out (one before).

--- a/src/control.rs
+++ b/src/control.rs
@@ -13,8 +13,9 @@
 const SIGHTINGS_BEFORE_GATE: usize = 64;
 const SCORES_BEFORE_RANKS: usize = 256;
 const RECENT: usize = 1024;
-/// A member holding over this multiple of the average bytes under way is passed over (design page).
+/// A member holding over this multiple of the others' average bytes, in more than a few transfers, is passed over.
 const CROWDED: f64 = 2.0;
+const FEW: u32 = 4;
 /// Sequential test of failing in half of all cases against one in twenty: what a failure and a success add to
 /// the log odds that a server is broken, and where they decide (100 to 1).
 const FAILURE_ADDS: f64 = std::f64::consts::LN_10;
@@ -231,7 +232,6 @@
     thens: HashMap<u64, Then>,
     last_mark: u64,
     purges: HashMap<Result<Id, u64>, Duration>,
-    /// Mean sending time, in seconds, and how many it is of.
     mean_work: Vec<(f64, f64)>,
     /// Likely fills out, how many may be, the last cut; when one last ended, how many lately, and how many late.
     fills_out: f64,
@@ -437,7 +437,7 @@
         // Of two, none ever holds over twice the average of both: the others' average counts.
         let (all, n) = (open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>(), open.len() as f64);
         let others = |s: &Server| (all - s.kb_under_way) / (n - 1.0).max(1.0);
-        let crowded = |s: &Server| s.out > 1 && s.kb_under_way > CROWDED * others(s);
+        let crowded = |s: &Server| s.out > FEW && s.kb_under_way > CROWDED * others(s);
         let fit = |s: &&Server| !access.failed.contains(&s.member.server) && (any || s.sound(now));
         let mut left = open.iter().map(|(_, s)| *s).filter(fit);
         left.clone().find(|s| !crowded(s)).or(left.next())
