Groups past 255, doubled fields and sizes that no client waits for are refused at the door

Change: what the protocol does not allow is answered FAIL; a size is bounded by what the top pace of an answer sends in the longest time that a client may wait.

--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -26,6 +26,7 @@
 const REPLIES_MOST: usize = 4 * OPEN_MOST;
 /// No access waits for longer, whatever its client says: its timers would pile up.
 const WAIT_MOST: Duration = Duration::from_secs(60);
+const GROUP_MOST: u64 = 255;
 /// A connection that takes no byte of its answers for this long is closed.
 const STUCK: Duration = Duration::from_secs(6);
 /// Clients close their idle connections after 4 s; those who keep them for good hold descriptors for nothing.
@@ -40,6 +41,8 @@
 /// What all clients share: how the categories are called, how long one may take.
 pub struct Door {
     pub categories: Vec<String>,
+    /// Top pace of one answer, in KB a second; 0: not told.
+    pub kb_per_s: f64,
     pub clock: Clock,
 }
 
@@ -275,19 +278,32 @@
         let at = self.door.categories.iter().position(|name| name.as_bytes() == category);
         let mut arrival = Arrival { category: at.ok_or("unknown category")?, ..Arrival::default() };
         let mut passed = Passed { category, body, part: Bytes::from_static(b"0"), ..Passed::default() };
+        // What could not be sent while any client waits would bend what is known of its category.
+        let kb_most =
+            if self.door.kb_per_s > 0.0 { self.door.kb_per_s * WAIT_MOST.as_secs_f64() } else { 1e9 };
+        let mut names = Vec::with_capacity(8);
         for (name, value) in fields(list) {
+            if names.contains(&name) {
+                return Err("a field given twice");
+            }
+            names.push(name);
             let digits = || number(&value).ok_or("a field that is not a number");
             match name {
                 b"i" => (arrival.id, passed.id) = (hex(&value)?, value),
                 b"o" => (arrival.object, passed.object) = (hex(&value)?, value),
                 b"d" => arrival.left = Duration::from_millis(digits()?).min(WAIT_MOST),
                 b"piece" => (arrival.part, passed.part) = (digits()?, value),
-                b"lot" => arrival.group = digits()?,
+                b"lot" => {
+                    arrival.group = digits()?;
+                    if arrival.group > GROUP_MOST {
+                        return Err("a group that is none");
+                    }
+                }
                 b"t" => arrival.customer = digits()? as usize,
                 b"r" => arrival.repeated = &value[..] == b"1",
                 b"m" => {
                     let kb = std::str::from_utf8(&value).ok().and_then(|v| v.parse::<f64>().ok());
-                    arrival.kb = kb.filter(|kb| (0.0..1e9).contains(kb)).ok_or("a size that is none")?;
+                    arrival.kb = kb.filter(|kb| (0.0..=kb_most).contains(kb)).ok_or("a size that is none")?;
                 }
                 b"ver" => passed.have = Some(value).filter(|tag| hex(tag).is_ok()),
                 _ => {}
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -75,7 +75,11 @@
     log::info!("{} serves on {}", told.name, told.listen);
     // Clients hold a third of the descriptors at most; a few more may be on their way out.
     let most = told.limits.sockets / 3;
-    let door = Rc::new(Door { categories: told.categories.clone(), clock });
+    let door = Rc::new(Door {
+        categories: told.categories.clone(),
+        kb_per_s: told.deployment.client_kb_per_s,
+        clock,
+    });
     let name = told.name.clone();
     spawn_local(reread(reload, told, clock, anew));
     listener::run(socket, most, door, decider, phase).await;
