--- /dev/null
+++ b/crates/directives/src/words.rs
@@ -0,0 +1,246 @@
+//! Every directive there is: its name, what it takes, and where that goes. Its defaults are those of `Told`.
+
+use crate::values::{self, Amount};
+use std::ops::RangeInclusive;
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// All that an operator's file says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Told {
+    pub log: Log,
+    /// Where the control socket is; none: there is none.
+    pub control: Option<PathBuf>,
+    pub store: Store,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    #[default]
+    Text,
+    Json,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Log {
+    pub format: LogFormat,
+    /// As `RUST_LOG` takes it; none: `info`.
+    pub level: Option<String>,
+}
+
+/// A router's own copies. All is off until memory or disk is given.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Store {
+    /// Of `limits.memory_mb`.
+    pub memory: Option<Amount>,
+    /// The directory, and how many bytes its segments may take.
+    pub disk: Option<(PathBuf, u64)>,
+    pub segment: u64,
+    /// What the table of the parts on disk may take of memory.
+    pub index: Amount,
+    /// Bytes admitted to the disk in a second, and in a day; none: no bound.
+    pub write_rate: Option<u64>,
+    pub write_day: Option<u64>,
+    /// What is fresh for less is not written.
+    pub least_fresh: Duration,
+    /// What is carried over from reclaimed segments, as a share of what is admitted.
+    pub carry: f64,
+    /// Threads that read.
+    pub readers: usize,
+    /// Written bytes are synced after so long, or so many.
+    pub sync_after: Duration,
+    pub sync_bytes: u64,
+    /// The notice board's first list names every purge of this long before a start. 0: nothing is known of them.
+    pub known_purges: Duration,
+    /// Copies from before a start that are asked for again in a second; 0: they are dropped.
+    pub revalidate: f64,
+    /// Parts read ahead of one that is asked for in turn.
+    pub read_ahead: usize,
+    /// Bytes a second that are read to find damage.
+    pub scrub: u64,
+    /// Background work pauses while the router's own turns come later than this.
+    pub yield_over: Duration,
+}
+
+impl Default for Store {
+    fn default() -> Store {
+        Store {
+            memory: None,
+            disk: None,
+            segment: 32 << 20,
+            index: Amount::Share(0.1),
+            write_rate: None,
+            write_day: None,
+            least_fresh: Duration::from_secs(60),
+            carry: 0.2,
+            readers: 4,
+            sync_after: Duration::from_secs(1),
+            sync_bytes: 8 << 20,
+            known_purges: Duration::ZERO,
+            revalidate: 0.0,
+            read_ahead: 1,
+            scrub: 1 << 20,
+            yield_over: Duration::from_millis(5),
+        }
+    }
+}
+
+type Set = fn(&mut Told, &[&str]) -> Result<(), (usize, String)>;
+
+/// One directive: in which section, how many words it takes and how they are written, what it says.
+pub struct Entry {
+    pub section: &'static str,
+    pub name: &'static str,
+    pub takes: &'static str,
+    pub count: RangeInclusive<usize>,
+    pub says: &'static str,
+    pub set: Set,
+}
+
+pub struct Table(&'static [Entry]);
+
+impl Table {
+    pub fn entries(&self) -> &'static [Entry] {
+        self.0
+    }
+
+    pub fn find(&self, section: &str, name: &str) -> Option<&'static Entry> {
+        self.0.iter().find(|e| e.section == section && e.name == name)
+    }
+
+    pub fn names(&self, section: &str) -> impl Iterator<Item = &'static str> {
+        self.0.iter().filter(move |e| e.section == section).map(|e| e.name)
+    }
+
+    pub fn sections(&self) -> impl Iterator<Item = &'static &'static str> {
+        ["store"].iter()
+    }
+}
+
+/// Puts the fault of a value at its place among the words.
+fn at<T>(place: usize, found: Result<T, String>) -> Result<T, (usize, String)> {
+    found.map_err(|what| (place, what))
+}
+
+fn bytes_within(word: &str, least: u64, most: u64) -> Result<u64, (usize, String)> {
+    let found = at(0, values::bytes(word))?;
+    if (least..=most).contains(&found) {
+        return Ok(found);
+    }
+    let say = |n| bytesize::ByteSize(n).to_string();
+    Err((0, format!("{word} is not from {} to {}", say(least), say(most))))
+}
+
+const fn one(
+    section: &'static str,
+    name: &'static str,
+    takes: &'static str,
+    says: &'static str,
+    set: Set,
+) -> Entry {
+    Entry { section, name, takes, count: 1..=1, says, set }
+}
+
+/// Every directive there is.
+pub const WORDS: Table = Table(&[
+    one("", "log-format", "text|json", "how a log line looks", |told, words| {
+        told.log.format = match words[0] {
+            "text" => LogFormat::Text,
+            "json" => LogFormat::Json,
+            other => return Err((0, format!("{other:?} is neither text nor json"))),
+        };
+        Ok(())
+    }),
+    one("", "log-level", "LEVEL", "what is logged, as RUST_LOG says it", |told, words| {
+        told.log.level = Some(words[0].to_owned());
+        Ok(())
+    }),
+    one("", "control", "PATH", "a Unix socket for chalkhall's commands, mode 0600", |told, words| {
+        told.control = Some(PathBuf::from(words[0]));
+        Ok(())
+    }),
+    one("store", "memory", "SIZE|SHARE", "own copies in memory, within limits.memory_mb", |told, words| {
+        told.store.memory = Some(at(0, values::amount(words[0]))?);
+        Ok(())
+    }),
+    Entry {
+        section: "store",
+        name: "disk",
+        takes: "DIRECTORY SIZE",
+        count: 2..=2,
+        says: "own copies on disk: where, and how many bytes",
+        set: |told, words| {
+            let size = bytes_within(words[1], 16 << 20, 1 << 50).map_err(|(_, what)| (1, what))?;
+            told.store.disk = Some((PathBuf::from(words[0]), size));
+            Ok(())
+        },
+    },
+    one("store", "segment", "SIZE", "how long a segment file gets", |told, words| {
+        told.store.segment = bytes_within(words[0], 1 << 20, 1 << 30)?;
+        Ok(())
+    }),
+    one("store", "index-memory", "SIZE|SHARE", "memory for the table of the parts on disk", |told, words| {
+        told.store.index = at(0, values::amount(words[0]))?;
+        Ok(())
+    }),
+    one("store", "write-rate", "SIZE", "bytes admitted to the disk in a second", |told, words| {
+        told.store.write_rate = Some(bytes_within(words[0], 1 << 10, 1 << 40)?);
+        Ok(())
+    }),
+    one("store", "write-day", "SIZE", "bytes admitted to the disk in a day", |told, words| {
+        told.store.write_day = Some(bytes_within(words[0], 1 << 20, 1 << 50)?);
+        Ok(())
+    }),
+    one("store", "least-fresh", "SPAN", "what is fresh for less is not written", |told, words| {
+        told.store.least_fresh = at(0, values::span(words[0]))?;
+        Ok(())
+    }),
+    one(
+        "store",
+        "carry",
+        "SHARE",
+        "carried over from reclaimed segments, of what is admitted",
+        |told, words| {
+            told.store.carry = at(0, values::share(words[0]))?;
+            Ok(())
+        },
+    ),
+    one("store", "readers", "COUNT", "threads that read from the disk", |told, words| {
+        told.store.readers = at(0, values::whole(words[0], 1, 64))? as usize;
+        Ok(())
+    }),
+    one("store", "sync-after", "SPAN", "how long a written part may wait to be synced", |told, words| {
+        told.store.sync_after = at(0, values::span(words[0]))?;
+        Ok(())
+    }),
+    one("store", "sync-bytes", "SIZE", "how many written bytes may wait to be synced", |told, words| {
+        told.store.sync_bytes = bytes_within(words[0], 1, 1 << 40)?;
+        Ok(())
+    }),
+    one(
+        "store",
+        "known-purges",
+        "SPAN",
+        "the board's first list names all purges of so long",
+        |told, words| {
+            told.store.known_purges = at(0, values::span(words[0]))?;
+            Ok(())
+        },
+    ),
+    one("store", "revalidate", "COUNT", "unproven copies asked for again in a second", |told, words| {
+        told.store.revalidate = at(0, values::whole(words[0], 0, 100_000))? as f64;
+        Ok(())
+    }),
+    one("store", "read-ahead", "COUNT", "parts read ahead of one asked for in turn", |told, words| {
+        told.store.read_ahead = at(0, values::whole(words[0], 0, 64))? as usize;
+        Ok(())
+    }),
+    one("store", "scrub", "SIZE", "bytes a second read to find damage", |told, words| {
+        told.store.scrub = at(0, values::bytes(words[0]))?;
+        Ok(())
+    }),
+    one("store", "yield-over", "SPAN", "background work pauses while turns come later", |told, words| {
+        told.store.yield_over = at(0, values::span(words[0]))?;
+        Ok(())
+    }),
+]);
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -5,13 +5,14 @@
 use crate::lines::{Answer, Passed, ask};
 use crate::link::{Ask, Key};
 use crate::notices::Notice;
+use crate::own::Own;
 use crate::phase::Phase;
 use crate::server::{Order, Server};
 use crate::told::Limits;
 use bytes::Bytes;
 use chalkhall::control::Router;
 use chalkhall::interface::{
-    self, Arrival, Deployment, Effect, Fill, Id, ListKind, Member, Outcome, Outlet, Standing,
+    self, Arrival, Deployment, Effect, Fill, Held, Id, ListKind, Member, Outcome, Outlet, Standing,
 };
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -85,6 +86,7 @@
 struct Taken {
     client: Option<mpsc::Sender<Reply>>,
     tag: u64,
+    arrival: Arrival,
     passed: Passed,
     /// It must not run twice.
     once: bool,
@@ -111,9 +113,13 @@
     accesses: HashMap<Id, Taken>,
     posts: HashMap<Id, Post>,
     timers: BinaryHeap<Reverse<(Duration, u64)>>,
-    /// Executions that could not be handed on, and accesses to be forgotten when all is back.
-    unsent: VecDeque<Key>,
+    /// Executions that ended here: not handed on, or answered from an own copy; and accesses to be forgotten when
+    /// all is back.
+    ends: VecDeque<Ended>,
     answered: Vec<Id>,
+    own: Option<Own>,
+    /// What an access is being honoured with.
+    brought: Option<(Id, Box<Answer>)>,
     /// A first byte leaves this soon after its decision, or not at all.
     leave_within: Duration,
     /// Bytes of bodies on their way to clients, executions that may bring more, and how much each is likely to.
@@ -141,6 +147,14 @@
     fn execute(&mut self, access: &Id, server: &Id, limit: Duration, fill: &Fill) {
         let Some(taken) = self.accesses.get_mut(access) else { return };
         let key = (access.clone(), taken.executions.len());
+        if let Some(own) = self.own.as_mut().filter(|own| own.is_place(server)) {
+            let answer = own.answer(&taken.arrival, taken.passed.have.as_ref()).map(Box::new);
+            let outcome = if answer.is_some() { Outcome::Honoured } else { Outcome::Missing };
+            self.ends.push_back(Ended { key, outcome, answer });
+            taken.executions.push(Execution { server: None, sent: self.now, open: true });
+            self.out += 1;
+            return;
+        }
         let ask = Box::new(Ask {
             key: key.clone(),
             passed: taken.passed.clone(),
@@ -153,7 +167,7 @@
         if post.as_ref().is_none_or(|orders| orders.try_send(Order::Ask(ask)).is_err()) {
             self.refused
                 .log(&format!("an execution for {server}, which is not listed or takes no more orders"));
-            self.unsent.push_back(key);
+            self.ends.push_back(Ended { key, outcome: Outcome::NeverSent, answer: None });
         }
         taken.executions.push(Execution { server: post, sent: self.now, open: true });
         self.out += 1;
@@ -183,11 +197,26 @@
     fn watch_list(&mut self) {
         // The notice board tells every router unasked.
     }
+
+    fn held(&mut self, access: &Id) -> Option<Held> {
+        let taken = self.accesses.get(access)?;
+        self.own.as_ref()?.held(&taken.arrival, taken.passed.have.as_ref())
+    }
+
+    fn keep(&mut self, access: &Id, rank: u8) {
+        let (Some(own), Some(taken)) = (&mut self.own, self.accesses.get(access)) else { return };
+        match self.brought.take_if(|(id, _)| id == access) {
+            Some((_, answer)) => own.keep(&taken.arrival, &answer, rank),
+            None => own.rank(&taken.arrival, rank),
+        }
+    }
 }
 
 pub struct Decider {
     router: Router,
     desk: Desk,
+    /// Places of own copies, until they have gone to the decisions with the first list.
+    places: Vec<Member>,
     limits: Limits,
     /// By category: whether its accesses must not run twice.
     once: Vec<bool>,
@@ -208,16 +237,20 @@
         limits: Limits,
         phase: watch::Sender<Phase>,
         messages: mpsc::Sender<Message>,
+        own: Option<Own>,
     ) -> Decider {
         let now = clock.now();
+        let places = own.as_ref().map(Own::members).unwrap_or_default();
         let mut desk = Desk {
             now,
             clock,
             accesses: HashMap::new(),
             posts: HashMap::new(),
             timers: BinaryHeap::new(),
-            unsent: VecDeque::new(),
+            ends: VecDeque::new(),
             answered: Vec::new(),
+            own,
+            brought: None,
             leave_within: shortest(deployment),
             in_hand: 0,
             out: 0,
@@ -227,6 +260,7 @@
         Decider {
             router: Router::start(now, deployment, &mut desk),
             desk,
+            places,
             once: deployment.categories.iter().map(|c| c.effect == Effect::Unrepeatable).collect(),
             bodies_most: limits.memory as f64 / 2.0,
             // Idle connections are closed before the other side does.
@@ -345,12 +379,16 @@
         }
         // Rather an early decline than being killed for memory or losing count of what is open.
         let bodies = self.desk.in_hand as f64 + (self.desk.out + 1) as f64 * self.desk.object;
+        if let Some(own) = &mut self.desk.own {
+            own.beside(bodies);
+        }
         if bodies > self.bodies_most || self.desk.accesses.len() >= self.limits.open_accesses {
             return refuse(Last::Declined(self.router.advice));
         }
         arrival.left = arrival.left.saturating_sub(self.desk.now.saturating_sub(read_at));
         let once = self.once.get(arrival.category) == Some(&true);
-        let taken = Taken { client: Some(client), tag, passed, once, executions: Vec::new() };
+        let (executions, kept) = (Vec::new(), arrival.clone());
+        let taken = Taken { client: Some(client), tag, arrival: kept, passed, once, executions };
         self.desk.accesses.insert(arrival.id.clone(), taken);
         self.router.access(self.desk.now, arrival, &mut self.desk);
     }
@@ -361,6 +399,7 @@
         let Some(taken) = desk.accesses.get_mut(&id) else { return };
         let Some(execution) = taken.executions.get_mut(n).filter(|e| e.open) else { return };
         execution.open = false;
+        let by_server = execution.server.is_some();
         desk.out -= 1;
         let took = desk.now.saturating_sub(execution.sent);
         let unasked = taken.passed.have.is_none();
@@ -381,24 +420,26 @@
             if told.outcome == Outcome::Honoured {
                 desk.object += (answer.body.len() as f64 - desk.object) * OBJECT_MOVES;
                 // The first honoured execution is the client's answer.
-                let etag = answer.etag;
+                let etag = answer.etag.clone();
                 let last = if answer.same {
                     Last::Unchanged { etag }
                 } else {
-                    Last::Honoured { etag, body: answer.body }
+                    Last::Honoured { etag, body: answer.body.clone() }
                 };
                 desk.reply(&id, last);
+                desk.brought = (by_server && !answer.same).then(|| (id.clone(), answer));
             }
         }
         told.over = desk.accesses.get(&id).is_some_and(|taken| taken.client.is_none());
         desk.answered.push(id.clone());
         self.router.result(desk.now, &id, n, &told, desk);
+        desk.brought = None;
     }
 
     /// Tells the decisions of what could not be sent, and forgets accesses that are answered and all back.
     fn settle(&mut self) {
-        while let Some(key) = self.desk.unsent.pop_front() {
-            self.ended(Ended { key, outcome: Outcome::NeverSent, answer: None });
+        while let Some(ended) = self.desk.ends.pop_front() {
+            self.ended(ended);
         }
         for id in std::mem::take(&mut self.desk.answered) {
             let over = |taken: &Taken| taken.client.is_none() && taken.executions.iter().all(|e| !e.open);
@@ -413,6 +454,9 @@
         match notice {
             Notice::Purge { object, group, ms } => {
                 let ago = now.saturating_sub(self.desk.clock.at_unix_ms(ms));
+                if let Some(own) = &mut self.desk.own {
+                    own.purged(object.as_ref(), group, ms);
+                }
                 self.router.purged(now, object, group, ago);
             }
             Notice::List { whole, members } => {
@@ -424,7 +468,8 @@
                 for (member, dial) in &members {
                     self.post(member, *dial, share.clamp(1, CONNECTIONS_MOST));
                 }
-                let members: Vec<Member> = members.into_iter().map(|(member, _)| member).collect();
+                let own = std::mem::take(&mut self.places);
+                let members: Vec<Member> = members.into_iter().map(|(member, _)| member).chain(own).collect();
                 self.router.list(now, kind, &members, &mut self.desk);
             }
         }
--- a/crates/router/src/lines.rs
+++ b/crates/router/src/lines.rs
@@ -75,6 +75,8 @@
     pub first_byte: Option<Duration>,
     pub load: Load,
     pub etag: Option<Bytes>,
+    /// The Unix millisecond at which the origin gave out the copy.
+    pub made: Option<u64>,
     pub body: Bytes,
 }
 
@@ -169,10 +171,17 @@
         _ => return Err(Nonsense("an answer of an unknown word")),
     };
     let length = number(&length).filter(|n| *n <= BODY_MOST as u64).ok_or(Nonsense("a body too long"))?;
-    let (first_byte, etag, body) = (None, None, Bytes::new());
-    let load_none = Load::default();
-    let mut answer =
-        Answer { id, outcome, same, remark: Remark::None, first_byte, load: load_none, etag, body };
+    let mut answer = Answer {
+        id,
+        outcome,
+        same,
+        remark: Remark::None,
+        first_byte: None,
+        load: Load::default(),
+        etag: None,
+        made: None,
+        body: Bytes::new(),
+    };
     for (name, value) in fields(&list) {
         match name {
             b"tell" => answer.remark = remark(&value),
@@ -182,6 +191,7 @@
             }
             b"meter" => answer.load = load(&value),
             b"etag" => answer.etag = Some(value),
+            b"made" => answer.made = number(&value),
             _ => {}
         }
     }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,43 +1,34 @@
-//! `chalkhall-router`: one router on real sockets. Every decision is `chalkhall::control`'s.
+//! `chalkhall-router`: one router on real sockets, as the platform starts it.
 
-mod board;
-mod brief;
-mod client;
-mod clock;
-mod decider;
-mod lines;
-mod link;
-mod listener;
-mod notices;
-mod phase;
-mod resp;
-mod server;
-mod told;
-
-use board::{Anew, Board};
-use client::Door;
-use clock::Clock;
-use decider::{Decider, Message};
-use phase::Phase;
+use clap::Parser;
+use std::path::PathBuf;
 use std::process::ExitCode;
-use std::rc::Rc;
-use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
-use tokio::task::{LocalSet, spawn_local};
-use told::Told;
 
-/// Messages waiting for the decisions. Who brings more waits, and reads nothing meanwhile.
-const MESSAGES_MOST: usize = 256;
-/// Events of the notice board, which go before them; the board is read no further meanwhile.
-const NOTICES_MOST: usize = 64;
+/// One chalkhall router on real sockets.
+///
+/// It is told by the environment: ROUTER_CONFIG is the path of a JSON file; ROUTER_NAME and ROUTER_LISTEN go before
+/// its `name` and `listen`. SIGTERM drains and ends it, SIGHUP reads the file anew.
+///
+/// Exit codes: 0 after SIGTERM; 1 where it could not start, with one line that names what is at fault; 2 for
+/// arguments that make no sense.
+#[derive(Parser)]
+#[command(version, about)]
+struct Arguments {
+    /// The operator's file; without one all that it could turn on is off
+    #[arg(value_name = "FILE")]
+    directives: Option<PathBuf>,
+}
 
 fn main() -> ExitCode {
+    let arguments = Arguments::parse();
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let clock = Clock::start();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| e.to_string());
-    let ran = runtime.and_then(|runtime| LocalSet::new().block_on(&runtime, run(clock)));
-    match ran {
+    let (told, faults) =
+        arguments.directives.map(|path| chalkhall_directives::read(&path)).unwrap_or_default();
+    if !faults.is_empty() {
+        faults.iter().for_each(|fault| eprintln!("chalkhall-router: {fault}"));
+        return ExitCode::FAILURE;
+    }
+    match chalkhall_router::serve(told) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("chalkhall-router: {what}");
@@ -45,72 +36,3 @@
         }
     }
 }
-
-fn read(clock: &Clock) -> Result<Told, String> {
-    told::told(|name| std::env::var(name).ok(), clock)
-}
-
-async fn run(clock: Clock) -> Result<(), String> {
-    // Taken up before all else: by default either signal ends the program where it stands.
-    let listen_to = |kind| signal(kind).map_err(|e| e.to_string());
-    let (stop, reload) = (listen_to(SignalKind::terminate())?, listen_to(SignalKind::hangup())?);
-    let mut told = read(&clock)?;
-    let (phase_of, phase) = watch::channel(Phase::Starting);
-    let (decider, mailbox) = mpsc::channel(MESSAGES_MOST);
-    let (limits, serving) = (told.limits.clone(), phase_of.clone());
-    let mut decisions = Decider::start(clock, &told.deployment, limits, phase_of, decider.clone());
-    // The list comes before the first access.
-    let known = std::mem::take(&mut told.known).into_iter().filter_map(|(_, notice)| notice);
-    known.for_each(|notice| decisions.notice(notice));
-    let socket = listener::bind(told.listen).map_err(|e| format!("listen: {}: {e}", told.listen))?;
-    let (noticed, notices) = mpsc::channel(NOTICES_MOST);
-    let deciding = spawn_local(decisions.run(mailbox, notices));
-
-    let (anew, told_anew) = mpsc::channel(1);
-    let (address, last, places) = (told.board, told.last_event, told.places.clone());
-    spawn_local(Board { address, last, faulty: None, places, clock, decider: noticed }.run(told_anew));
-    spawn_local(heed(stop, decider.clone()));
-    serving.send_replace(Phase::Serving);
-    drop(serving);
-    log::info!("{} serves on {}", told.name, told.listen);
-    // Clients hold a third of the descriptors at most; a few more may be on their way out.
-    let most = told.limits.sockets / 3;
-    let door = Rc::new(Door {
-        categories: told.categories.clone(),
-        kb_per_s: told.deployment.client_kb_per_s,
-        clock,
-    });
-    let name = told.name.clone();
-    spawn_local(reread(reload, told, clock, anew));
-    listener::run(socket, most, door, decider, phase).await;
-    // Without decisions nothing can be answered: better to be started anew than to go on.
-    deciding.await.map_err(|what| format!("the decisions failed: {what}"))?;
-    log::info!("{name} ended");
-    Ok(())
-}
-
-async fn heed(mut stop: Signal, decider: mpsc::Sender<Message>) {
-    while stop.recv().await.is_some() {
-        let _ = decider.send(Message::Stop).await;
-    }
-}
-
-/// Reads the configuration anew at each SIGHUP. Of one that is faulty nothing counts.
-async fn reread(mut reload: Signal, running: Told, clock: Clock, board: mpsc::Sender<Anew>) {
-    while reload.recv().await.is_some() {
-        let anew = match read(&clock) {
-            Ok(anew) => anew,
-            Err(what) => {
-                log::warn!("the new configuration is not taken over: {what}");
-                continue;
-            }
-        };
-        let otherwise = running.fixed_otherwise(&anew);
-        if !otherwise.is_empty() {
-            log::warn!("the new configuration has other {}: a restart is needed", otherwise.join(", "));
-        }
-        // Its events are read by the names in its settings, which are not those that the router runs with.
-        let known = if otherwise.contains(&"settings") { Vec::new() } else { anew.known };
-        let _ = board.send(Anew { address: anew.board, known }).await;
-    }
-}
--- a/crates/router/src/told.rs
+++ b/crates/router/src/told.rs
@@ -28,6 +28,8 @@
     pub deployment: Deployment,
     pub categories: Vec<String>,
     pub limits: Limits,
+    /// How many answers at a client's pace its own link carries at once; none: not told.
+    pub own_link: Option<f64>,
     fixed: Vec<Value>,
 }
 
@@ -108,6 +110,7 @@
         deployment,
         categories: names.categories,
         limits: limits(file, settings)?,
+        own_link: own_link(file)?,
         fixed: FIXED.map(|name| file.get(name).cloned().unwrap_or_default()).to_vec(),
     })
 }
@@ -138,6 +141,12 @@
     })
 }
 
+fn own_link(file: &Fields) -> Result<Option<f64>, String> {
+    let flow = deployment::number(file, "flow_bytes_per_s")?;
+    let link = deployment::number(file, "link_bytes_per_s")?;
+    Ok((flow > 0.0 && link > 0.0).then(|| link / flow))
+}
+
 fn object<'a>(from: &'a Fields, name: &str) -> Result<&'a Fields, String> {
     match from.get(name) {
         None | Some(Value::Null) => Err(format!("{name} is missing")),
--- /dev/null
+++ b/crates/router/tests/program/own.rs
@@ -0,0 +1,157 @@
+//! Own copies in memory, through the program on loopback.
+
+use crate::stand_ins::*;
+use serde_json::json;
+
+const TAG: &str = "etag=4be0c1927d55a6f3";
+
+fn started(directives: &str) -> (World, Program, Client) {
+    let mut world = World::new();
+    world.directives = directives.to_owned();
+    let program = world.start();
+    let client = program.client();
+    (world, program, client)
+}
+
+fn made(ago: u64) -> String {
+    format!("tell=filled,{TAG},made={}", unix_ms() - ago)
+}
+
+fn ask_first(client: &mut Client) {
+    client.ask(7, "page", "", b"");
+}
+
+#[test]
+fn a_repeat_is_answered_from_memory() {
+    let (world, _program, mut client) = started("store {\n memory 25%\n}\n");
+    let mut server = keep_after(&world, &mut client);
+    client.ask(7, "page", "", b"");
+    assert_eq!(client.answer(), (7, "ACK".into(), format!("ver={}", &TAG[5..]), b"two".to_vec()));
+    client.ask(7, "page", &format!("ver={}", &TAG[5..]), b"");
+    let (_, word, fields, body) = client.answer();
+    assert!(word == "ACK" && fields.contains("unchanged=1") && body.is_empty(), "{word} {fields}");
+    // Another part is another copy; nothing of all this came to the server.
+    client.ask(7, "page", "piece=1", b"");
+    assert_eq!(server.asked().get("chunk"), "1");
+}
+
+/// Asks for object 7 until its copy is one of the router's own: a first sighting is not kept, the second is.
+fn keep_after(world: &World, client: &mut Client) -> Line {
+    ask_first(client);
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    server.answer(&asked, "OK", &made(0), b"one");
+    client.answer();
+    ask_first(client);
+    let asked = server.asked();
+    server.answer(&asked, "OK", &made(0), b"two");
+    client.answer();
+    server
+}
+
+#[test]
+fn a_purge_told_is_kept_by_own_copies() {
+    let (world, _program, mut client) = started("store {\n memory 10MB\n}\n");
+    let (mut board, _) = world.board.accept();
+    let mut server = keep_after(&world, &mut client);
+    let flush = json!({"rev": 2, "flush": {"collection": 1, "ms": unix_ms()}});
+    board.say(format!("{flush}\n"));
+    // Told when the next access of another object carries the bound.
+    let mut tag = 100;
+    until("the purge", || {
+        tag += 1;
+        client.ask(tag, "page", "", b"");
+        let asked = server.asked();
+        let bound: u64 = asked.get("maxage").parse().unwrap();
+        server.answer(&asked, "OK", &made(0), b"x");
+        client.answer();
+        bound < 12_000
+    });
+    ask_first(&mut client);
+    let asked = server.asked();
+    assert_eq!(asked.get("item"), "0000000000000007");
+    // Made before the purge: passed on, for the server says so, but not kept.
+    server.answer(&asked, "OK", &made(60_000), b"old");
+    client.answer();
+    ask_first(&mut client);
+    let asked = server.asked();
+    server.answer(&asked, "OK", &made(0), b"new");
+    assert_eq!(client.answer().3, b"new");
+    ask_first(&mut client);
+    assert_eq!(client.answer().3, b"new", "made since");
+}
+
+#[test]
+fn what_expired_is_asked_for_again() {
+    let (world, _program, mut client) = started("store {\n memory 10MB\n}\n");
+    ask_first(&mut client);
+    let mut server = world.server("c1").accept();
+    for _ in 0..3 {
+        let asked = server.asked();
+        server.answer(&asked, "OK", &made(12_001), b"old");
+        client.answer();
+        ask_first(&mut client);
+    }
+    server.asked();
+}
+
+#[test]
+fn accesses_for_one_part_share_a_fill() {
+    let (world, _program, mut client) = started("store {\n memory 10MB\n}\n");
+    let ids: Vec<String> = (1..=5)
+        .map(|tag| {
+            let id = format!("{:016x}", 0xabc0 + tag);
+            let fields = format!("i={id},o=00000000000000aa,lot=1,m=10.5,d=4000");
+            client.send(&[b"REQ", tag.to_string().as_bytes(), b"page", fields.as_bytes(), b""]);
+            id
+        })
+        .collect();
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    assert_eq!(asked.id, ids[0]);
+    server.answer(&asked, "OK", &made(0), b"one for all");
+    for _ in 1..=5 {
+        let (_, word, _, body) = client.answer();
+        assert_eq!((word.as_str(), &body[..]), ("ACK", &b"one for all"[..]));
+    }
+}
+
+#[test]
+fn own_copies_give_way_before_an_access_is_declined() {
+    let mut world = World::new();
+    // Bodies in hand may take 5 MB, together with own copies 1.5 MB past what the router takes itself.
+    world.file["limits"]["memory_mb"] = json!(10);
+    world.directives = "store {\n memory 100%\n}\n".into();
+    let program = world.start();
+    let mut client = program.client();
+    let body = vec![7; 200_000];
+    let mut server = None;
+    for tag in [7, 7, 1, 1, 2, 2, 3, 3] {
+        client.ask(tag, "page", "", b"");
+        let server = server.get_or_insert_with(|| world.server("c1").accept());
+        let asked = server.asked();
+        server.answer(&asked, "OK", &made(0), &body);
+        assert_eq!(client.word(), "ACK");
+    }
+    let mut server = server.unwrap();
+    // Four answers to come at up to 240 KB each: too much beside own copies, not for the router.
+    for tag in 1000..1003 {
+        client.ask(tag, "page", "", b"");
+        server.asked();
+    }
+    ask_first(&mut client);
+    assert_eq!(server.asked().get("item"), "0000000000000007", "its copy has left, and nothing is declined");
+}
+
+#[test]
+fn faults_of_the_operators_file_are_told_at_once() {
+    let mut world = World::new();
+    world.directives = "store {\n memry 5MB\n disk /x\n}\nlog-format yaml\n".into();
+    let (status, text) = world.spawn("").ended();
+    assert_eq!(status.code(), Some(1));
+    for part in
+        [":2:2: memry is not a directive of store; memory is", ":3:2: disk is written", ":5:12: \"yaml\""]
+    {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+}
--- a/crates/router/tests/stand_ins/mod.rs
+++ b/crates/router/tests/program/stand_ins/mod.rs
@@ -266,6 +266,8 @@
     pub board: Board,
     pub servers: Vec<Server>,
     pub file: Value,
+    /// The operator's file, where one is wanted.
+    pub directives: String,
     listen: SocketAddr,
     dir: PathBuf,
 }
@@ -303,7 +305,7 @@
         let file = json!({"name": "n1", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024}, "board": board.to_string(),
             "known": null, "settings": settings});
-        World { board: Board { listener }, servers, file, listen, dir }
+        World { board: Board { listener }, servers, file, directives: String::new(), listen, dir }
     }
 
     pub fn server(&self, name: &str) -> &Server {
@@ -334,7 +336,12 @@
         }
         self.write();
         let path = self.path();
-        let run = format!("{limits} exec {}", env!("CARGO_BIN_EXE_chalkhall-router"));
+        let mut run = format!("{limits} exec {}", env!("CARGO_BIN_EXE_chalkhall-router"));
+        if !self.directives.is_empty() {
+            let operators = self.dir.join("chalkhall.conf");
+            std::fs::write(&operators, &self.directives).unwrap();
+            run += &format!(" {}", operators.display());
+        }
         let mut command = Command::new("/bin/sh");
         command.args(["-c", &run]).env("ROUTER_CONFIG", &path);
         let child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
--- /dev/null
+++ b/crates/store/src/decide/segments.rs
@@ -0,0 +1,239 @@
+//! Which segments there are, which is written to, and which is reclaimed next.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Records of like size lie together: a row of large ones that nobody asks for again fills segments of its own, and
+/// goes with them.
+pub const CLASSES: usize = 4;
+const CLASS_ENDS: [usize; CLASSES - 1] = [8 << 10, 32 << 10, 128 << 10];
+/// What a byte is worth by rank, none first. Read lately it is worth more, by the heat of what was read.
+const WORTH: [f64; 4] = [0.0, 1.0, 4.0, 16.0];
+/// Worth halves with each such span since a segment was last read from or written to.
+const FADES: Duration = Duration::from_secs(600);
+
+pub fn class_of(record: usize) -> usize {
+    CLASS_ENDS.iter().position(|end| record <= *end).unwrap_or(CLASSES - 1)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Written to.
+    Open,
+    /// Its footer is on the way to the disk.
+    Sealing,
+    Sealed,
+    /// A write or a sync of it failed: nothing more is written, what is left of it goes first.
+    Failed,
+    /// Its parts are being looked through, then it is removed.
+    Reclaimed,
+    Removing,
+}
+
+#[derive(Clone, Debug)]
+pub struct Segment {
+    pub state: State,
+    pub class: usize,
+    /// Where the next record goes, and up to where all is known to be on the disk.
+    pub end: u32,
+    pub synced: u32,
+    /// Bytes of records that the index still leads to, by rank.
+    live: [u64; 4],
+    used: Duration,
+}
+
+impl Segment {
+    pub fn live(&self) -> u64 {
+        self.live.iter().sum()
+    }
+
+    /// What a byte of it is worth keeping.
+    fn worth(&self, now: Duration) -> f64 {
+        let worth: f64 = self.live.iter().zip(WORTH).map(|(bytes, worth)| *bytes as f64 * worth).sum();
+        let idle = now.saturating_sub(self.used).as_secs_f64() / FADES.as_secs_f64();
+        worth / f64::from(self.end.max(1)) * (-idle).exp2()
+    }
+}
+
+/// All segments of a store, by number. Numbers only go up: bytes of an earlier segment never pass for a later one's.
+pub struct Segments {
+    all: BTreeMap<u32, Segment>,
+    open: [Option<u32>; CLASSES],
+    next: u32,
+    /// How long a segment gets, and how many there may be.
+    pub size: u32,
+    pub most: usize,
+}
+
+impl Segments {
+    pub fn new(size: u32, most: usize) -> Segments {
+        Segments { all: BTreeMap::new(), open: [None; CLASSES], next: 1, size, most }
+    }
+
+    pub fn get(&self, segment: u32) -> Option<&Segment> {
+        self.all.get(&segment)
+    }
+
+    pub fn len(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (u32, &Segment)> {
+        self.all.iter().map(|(number, segment)| (*number, segment))
+    }
+
+    /// Bytes of all segments, and of what the index leads to.
+    pub fn bytes(&self) -> (u64, u64) {
+        self.all.values().fold((0, 0), |(all, live), s| (all + u64::from(s.end), live + s.live()))
+    }
+
+    /// New ones begin after this number.
+    pub fn number_from(&mut self, last: u32) {
+        self.next = self.next.max(last.saturating_add(1));
+    }
+
+    /// A segment of an earlier life, before its parts are known.
+    pub fn found(&mut self, number: u32, class: usize, end: u32, now: Duration) {
+        self.number_from(number);
+        let class = class.min(CLASSES - 1);
+        let found = Segment { state: State::Sealed, class, end, synced: end, live: [0; 4], used: now };
+        self.all.insert(number, found);
+    }
+
+    /// How many more may be begun.
+    pub fn free(&self) -> usize {
+        self.most.saturating_sub(self.all.len())
+    }
+
+    /// The open segment of a class if it takes so many bytes more, and where they go.
+    pub fn place(&self, class: usize, length: usize) -> Option<(u32, u32)> {
+        let number = self.open[class]?;
+        let segment = self.all.get(&number)?;
+        (u64::from(segment.end) + length as u64 <= u64::from(self.size)).then_some((number, segment.end))
+    }
+
+    pub fn open(&self, class: usize) -> Option<u32> {
+        self.open[class]
+    }
+
+    /// Begins a segment of a class. None: there may be no more, or numbers have run out.
+    pub fn begin(&mut self, class: usize, head: u32, now: Duration) -> Option<u32> {
+        let (number, next) = (self.next, self.next.checked_add(1)?);
+        if self.free() == 0 {
+            return None;
+        }
+        self.next = next;
+        let (state, end) = (State::Open, head);
+        self.all.insert(number, Segment { state, class, end, synced: 0, live: [0; 4], used: now });
+        self.open[class] = Some(number);
+        Some(number)
+    }
+
+    pub fn wrote(&mut self, segment: u32, length: usize, now: Duration) {
+        if let Some(segment) = self.all.get_mut(&segment) {
+            segment.end += length as u32;
+            segment.used = now;
+        }
+    }
+
+    pub fn synced(&mut self, segment: u32, up_to: u32) {
+        if let Some(segment) = self.all.get_mut(&segment) {
+            segment.synced = segment.synced.max(up_to);
+        }
+    }
+
+    /// From here on it is not written to.
+    pub fn set(&mut self, segment: u32, state: State) {
+        if let Some(found) = self.all.get_mut(&segment) {
+            found.state = state;
+            let open = &mut self.open[found.class];
+            if *open == Some(segment) && state != State::Open {
+                *open = None;
+            }
+        }
+    }
+
+    pub fn used(&mut self, segment: u32, now: Duration) {
+        self.all.get_mut(&segment).into_iter().for_each(|s| s.used = now);
+    }
+
+    /// The index leads to so many bytes more in it, of this rank.
+    pub fn add(&mut self, segment: u32, rank: u8, bytes: u32) {
+        self.all.get_mut(&segment).into_iter().for_each(|s| s.live[rank as usize & 3] += u64::from(bytes));
+    }
+
+    pub fn take(&mut self, segment: u32, rank: u8, bytes: u32) {
+        if let Some(segment) = self.all.get_mut(&segment) {
+            let live = &mut segment.live[rank as usize & 3];
+            debug_assert!(*live >= u64::from(bytes), "more taken than there was");
+            *live = live.saturating_sub(u64::from(bytes));
+        }
+    }
+
+    pub fn removed(&mut self, segment: u32) {
+        self.all.remove(&segment);
+    }
+
+    /// Which goes next: one that failed, else the sealed one whose bytes are worth least.
+    pub fn victim(&self, now: Duration) -> Option<u32> {
+        let worth = |s: &Segment| if s.state == State::Failed { -1.0 } else { s.worth(now) };
+        let may_go = |s: &&Segment| matches!(s.state, State::Sealed | State::Failed);
+        let victims = self.all.iter().filter(|(_, s)| may_go(s));
+        victims.min_by(|(_, a), (_, b)| worth(a).total_cmp(&worth(b))).map(|(number, _)| *number)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn s(seconds: u64) -> Duration {
+        Duration::from_secs(seconds)
+    }
+
+    /// Begins one, fills it with bytes of a rank and seals it.
+    fn sealed(segments: &mut Segments, class: usize, rank: u8, live: u32, now: Duration) -> u32 {
+        let number = segments.begin(class, 64, now).unwrap();
+        segments.wrote(number, 1000, now);
+        segments.add(number, rank, live);
+        segments.set(number, State::Sealed);
+        number
+    }
+
+    #[test]
+    fn the_least_worth_goes_first() {
+        let mut segments = Segments::new(1 << 20, 10);
+        let high = sealed(&mut segments, 0, 3, 900, s(0));
+        let low = sealed(&mut segments, 3, 1, 900, s(0));
+        let empty = sealed(&mut segments, 1, 2, 0, s(0));
+        assert_eq!(segments.victim(s(1)), Some(empty));
+        segments.removed(empty);
+        assert_eq!(segments.victim(s(1)), Some(low));
+        // What has not been read for an hour is worth less than what was read just now.
+        segments.used(low, s(3600));
+        assert_eq!(segments.victim(s(3600)), Some(high));
+        let failed = sealed(&mut segments, 0, 3, 1000, s(3600));
+        segments.set(failed, State::Failed);
+        assert_eq!(segments.victim(s(3600)), Some(failed));
+    }
+
+    #[test]
+    fn an_open_one_is_written_until_it_is_full_and_never_reclaimed() {
+        let mut segments = Segments::new(4096, 2);
+        segments.number_from(7);
+        assert_eq!(segments.begin(2, 64, s(0)), Some(8));
+        assert_eq!(segments.place(2, 4032), Some((8, 64)));
+        segments.wrote(8, 4000, s(0));
+        assert_eq!((segments.place(2, 100), segments.place(1, 8)), (None, None));
+        assert_eq!(segments.victim(s(0)), None);
+        segments.set(8, State::Sealing);
+        assert_eq!(segments.begin(2, 64, s(0)), Some(9));
+        assert_eq!(segments.begin(1, 64, s(0)), None, "no more than two");
+        segments.set(8, State::Sealed);
+        assert_eq!((segments.victim(s(0)), segments.open(2)), (Some(8), Some(9)));
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -101,12 +101,15 @@
     }
 }
 
+fn part_of(arrival: &Arrival) -> u64 {
+    xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part)
+}
+
 impl IdList {
     /// The rank at which a copy is kept; 0: passed unkept. `shared`: a first sighting is taken for a repeat.
     fn sight(&mut self, now: Duration, arrival: &Arrival, fresh: Option<Duration>, shared: bool) -> u8 {
         self.accesses += 1;
-        let key = xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part);
-        let count = self.accesses;
+        let (key, count) = (part_of(arrival), self.accesses);
         let Some(seen) = self.seen.get_mut(&key) else {
             self.seen.put(key, Seen { count, at: now, ..Seen::default() });
             return u8::from(shared);
@@ -136,7 +139,7 @@
     }
 
     fn known(&mut self, arrival: &Arrival) -> Option<&mut Seen> {
-        self.seen.peek_mut(&xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part))
+        self.seen.peek_mut(&part_of(arrival))
     }
 }
 
@@ -147,21 +150,38 @@
     kb_under_way: f64,
     out: u32,
 
-    /// Log odds that it is broken; set aside: when the next execution is due, and their distance.
-    doubt: f64,
-    aside: Option<(Duration, Duration)>,
+    record: Judged,
     in_time: f64,
     heard: Duration,
     /// All that a connection carried breaks with it: until then that is one failure.
     broke: Duration,
 }
 
-impl Server {
-    fn sound(&self, now: Duration) -> bool {
+/// What a sequential test on its outcomes says of a server, or of a disk.
+#[derive(Debug, Default)]
+pub struct Judged {
+    /// Log odds that it is broken; set aside: when the next execution is due, and their distance.
+    doubt: f64,
+    aside: Option<(Duration, Duration)>,
+}
+
+impl Judged {
+    /// It may be sent something: it is not set aside, or the next of its trickle is due.
+    pub fn sound(&self, now: Duration) -> bool {
         self.aside.is_none_or(|(due, _)| now >= due)
     }
 
-    fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
+    pub fn is_aside(&self) -> bool {
+        self.aside.is_some()
+    }
+
+    /// Something was sent: of a trickle the next is due a spacing later.
+    pub fn sent(&mut self, now: Duration) {
+        self.aside = self.aside.map(|(_, spacing)| (now + spacing, spacing));
+    }
+
+    /// One outcome, of a weight from 0 to 1.
+    pub fn judge(&mut self, now: Duration, failed: bool, weight: f64) {
         self.doubt =
             (self.doubt + weight * if failed { FAILURE_ADDS } else { SUCCESS_ADDS }).clamp(0.0, BROKEN_AT);
         let spacing = match self.aside {
@@ -180,11 +200,14 @@
     filling: bool,
 }
 
-/// Where an execution goes: a server, and the source of a fill with it; itself: no fill.
+/// Where an execution goes: a server, and the source of a fill with it; itself: no fill. To an own copy: when that
+/// was made, and for how long past its fresh time it will do.
 #[derive(Clone)]
 struct Route {
     server: Id,
     source: Id,
+    made: Option<Duration>,
+    past: Duration,
 }
 
 #[derive(Default)]
@@ -199,6 +222,8 @@
     executions: Vec<Execution>,
     open: usize,
     ended: bool,
+    /// It has waited for another's fill of the same part.
+    joined: bool,
     ran: Option<(Duration, Id)>,
     failed: Vec<Id>,
     erred: Vec<(Id, f64)>,
@@ -240,6 +265,11 @@
     fills_lately: (Duration, f64, f64),
     patience: f64,
     waiting: Vec<Id>,
+    /// How many answers this router's own link carries at once (0: no own copies), and when it is free again.
+    own: f64,
+    link_free: Duration,
+    /// By part: whose fill is under way, and who waits for what it brings.
+    filled: HashMap<u64, (Id, Vec<Id>)>,
 }
 
 impl Router {
@@ -279,12 +309,13 @@
             return self.after(&mut Turn { now, out }, LIST_AGAIN, Box::new(|_, turn| turn.out.watch_list()));
         }
         if kind != ListKind::Changes {
-            self.servers.values_mut().for_each(|s| s.member.standing = Standing::Gone);
+            let listed = self.servers.values_mut().filter(|s| s.member.tier != Tier::Own);
+            listed.for_each(|s| s.member.standing = Standing::Gone);
         }
         for member in members {
             let server = self.servers.entry(member.server.clone()).or_default();
             if server.member.started != member.started {
-                (server.doubt, server.aside) = (0.0, None);
+                server.record = Judged::default();
             }
             server.member = member.clone();
         }
@@ -294,6 +325,8 @@
             self.fills_most = (capacity / self.routers_here).max(FILLS_LEAST);
         }
         self.servers.retain(|_, s| s.member.standing != Standing::Gone);
+        let own = self.servers.values().filter(|s| s.member.tier == Tier::Own);
+        self.own = own.map(|s| s.member.capacity).fold(0.0, f64::max);
     }
 
     /// An access comes in: it gets its one final answer by `due` whatever else happens.
@@ -339,8 +372,7 @@
     pub fn purged(&mut self, now: Duration, object: Option<Id>, group: u64, ago: Duration) {
         let (at, left) = (now.saturating_sub(ago), self.purge_done + self.margin);
         self.purges.retain(|_, purge| now < *purge + left);
-        let latest = self.purges.entry(object.ok_or(group)).or_insert(at);
-        *latest = at.max(*latest);
+        self.purges.entry(object.ok_or(group)).and_modify(|latest| *latest = at.max(*latest)).or_insert(at);
     }
 
     pub fn wake(&mut self, now: Duration, mark: u64, out: &mut dyn Outlet) {
@@ -355,9 +387,18 @@
     }
 
     fn advance(&mut self, turn: &mut Turn, id: &Id) {
+        let over = self.accesses.get(id).is_none_or(|a| a.ended || a.open > 0);
+        if over || self.own(turn, id, Duration::ZERO) {
+            return;
+        }
         let route = self.route(turn.now, id);
-        if self.fills_out >= self.fills_most && route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
-            return self.hold(turn, id);
+        if route.as_ref().is_some_and(|r| self.likely_fill(id, r)) {
+            if self.join(turn, id) {
+                return;
+            }
+            if self.fills_out >= self.fills_most {
+                return self.hold(turn, id);
+            }
         }
         let sent = route.is_some_and(|route| self.send(turn, id, route));
         if !sent && self.accesses.get(id).is_some_and(|a| a.open == 0) {
@@ -374,6 +415,56 @@
         self.categories[access.arrival.category].cacheable && route.source != route.server && !held
     }
 
+    /// Answers from an own copy, if its place is sound and this router's link has it out in time. `past`: so long
+    /// past its fresh time it will do.
+    fn own(&mut self, turn: &mut Turn, id: &Id, past: Duration) -> bool {
+        let Some(access) = self.accesses.get(id) else { return false };
+        if self.own <= 0.0 || !self.categories[access.arrival.category].cacheable {
+            return false;
+        }
+        let Some(Held { place, made, same }) = turn.out.held(id) else { return false };
+        let sound = self.servers.get(&place).is_some_and(|s| s.record.sound(turn.now));
+        // One answer runs at a client's pace at most, all share the link in turn; that a copy holds is soon said.
+        let work = if same { access.work / 20 } else { access.work };
+        let free = self.link_free.max(turn.now) + work.div_f64(self.own.max(0.01));
+        let latest = if past.is_zero() { access.soft.min(access.due) } else { access.due };
+        let fit = sound && !access.failed.contains(&place) && free.max(turn.now + work) <= latest;
+        let to = Route { server: place.clone(), source: place, made: Some(made), past };
+        let sent = fit && self.send(turn, id, to);
+        self.link_free = if sent { free } else { self.link_free };
+        sent
+    }
+
+    /// Waits for the fill of the same part that is under way, which a second one would only crowd; once, and not
+    /// for longer than leaves time for one of its own: what it waits for may be lost.
+    fn join(&mut self, turn: &mut Turn, id: &Id) -> bool {
+        let Some(access) = self.accesses.get_mut(id) else { return false };
+        let latest = access.soft.min(access.due).saturating_sub(OVERHEAD + access.work);
+        let Some((_, followers)) = self.filled.get_mut(&part_of(&access.arrival)) else { return false };
+        if latest <= turn.now || std::mem::replace(&mut access.joined, true) {
+            return false;
+        }
+        followers.push(id.clone());
+        let (id, wait) = (id.clone(), (latest - turn.now) / 2);
+        self.after(turn, wait, Box::new(move |router, turn| router.advance(turn, &id)));
+        true
+    }
+
+    /// The execution of an access has ended: an own copy of what it brought, and on with who waited for it.
+    fn pass_on(&mut self, turn: &mut Turn, id: &Id, honoured: bool) {
+        let Some(access) = self.accesses.get(id) else { return };
+        let part = part_of(&access.arrival);
+        let leads = self.filled.get(&part).is_some_and(|(leader, _)| leader == id);
+        let followers = if leads { self.filled.remove(&part).unwrap_or_default().1 } else { Vec::new() };
+        let rank = access.rank.max(u8::from(!followers.is_empty()));
+        if honoured && rank > 0 && self.categories[access.arrival.category].cacheable {
+            turn.out.keep(id, rank);
+        }
+        for id in followers {
+            self.after(turn, Duration::ZERO, Box::new(move |router, turn| router.advance(turn, &id)));
+        }
+    }
+
     /// More fills than links and sources end in time make all of them late, and what times out has used them
     /// for nothing. So a fill too many waits, as long as it could still be in time after.
     fn hold(&mut self, turn: &mut Turn, id: &Id) {
@@ -438,7 +529,7 @@
         let (all, n) = (open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>(), open.len() as f64);
         let others = |s: &Server| (all - s.kb_under_way) / (n - 1.0).max(1.0);
         let crowded = |s: &Server| s.out > FEW && s.kb_under_way > CROWDED * others(s);
-        let fit = |s: &&Server| !access.failed.contains(&s.member.server) && (any || s.sound(now));
+        let fit = |s: &&Server| !access.failed.contains(&s.member.server) && (any || s.record.sound(now));
         let mut left = open.iter().map(|(_, s)| *s).filter(fit);
         left.clone().find(|s| !crowded(s)).or(left.next())
     }
@@ -446,7 +537,8 @@
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
         let access = self.accesses.get(id)?;
         let name = |s: &Server| s.member.server.clone();
-        let straight = |s: &Server| Route { server: name(s), source: name(s) };
+        let to = |s: &Server, source| Route { server: name(s), source, made: None, past: Duration::ZERO };
+        let straight = |s: &Server| to(s, name(s));
         let pick = |tier, any| self.pick(now, tier, any, access);
         // Where no parent is sound, nor the origin, the trouble is the origin's: parents have what they hold.
         let source = || {
@@ -463,7 +555,7 @@
         }
         match pick(Tier::Cache, false).or_else(|| pick(Tier::Cache, true)) {
             // With no source left the cache itself is named: a plain send could bring a copy purged since.
-            Some(cache) => Some(Route { server: name(cache), source: name(source().unwrap_or(cache)) }),
+            Some(cache) => Some(to(cache, name(source().unwrap_or(cache)))),
             None if self.pass_through => source().map(straight),
             None => None,
         }
@@ -514,8 +606,8 @@
     }
 
     /// Rule 5: the oldest copy that will do, counted from the purge, and never zero: that would mean any age.
-    fn oldest(&self, now: Duration, access: &Access) -> Option<Duration> {
-        let fresh = self.categories[access.arrival.category].fresh;
+    fn oldest(&self, now: Duration, access: &Access, past: Duration) -> Option<Duration> {
+        let fresh = self.categories[access.arrival.category].fresh.map(|fresh| fresh + past);
         let current = self.last_purge(access).filter(|at| now < *at + self.purge_done + self.margin);
         let since = current.map(|at| now.saturating_sub(at).max(Duration::from_micros(1)));
         since.into_iter().chain(fresh).min()
@@ -529,13 +621,15 @@
         let Some(server) = self.servers.get(&route.server) else { return false };
         let source = self.servers.get(&route.source).unwrap_or(server);
         let category = &self.categories[access.arrival.category];
+        let oldest = self.oldest(now, access, route.past);
         let lawful = !access.ended
             && now < access.due
             && access.executions.len() < self.most_executions
             && access.open == 0
             && self.may_repeat(now, access, Some(server))
             && self.may_take(now, server, access)
-            && self.may_take(now, source, access);
+            && self.may_take(now, source, access)
+            && route.made.zip(oldest).is_none_or(|(made, oldest)| now.saturating_sub(made) < oldest);
         if !lawful {
             return false;
         }
@@ -543,16 +637,16 @@
         let fill = Fill {
             source: route.source.clone(),
             rank: if server.member.tier == Tier::Cache { access.rank } else { 0 },
-            oldest: self.oldest(now, access),
+            oldest,
             join: self.joins,
             // While the origin fails, what a parent fetches from it only holds up what it has.
-            only_held: source.member.tier == Tier::Parent && origins.all(|s| !s.sound(now)),
+            only_held: source.member.tier == Tier::Parent && origins.all(|s| !s.record.sound(now)),
             parent_keeps: true,
             renew: false,
         };
         let watched = category.effect == Effect::Idempotent && self.may_cancel && !category.streamed;
-        let (kb, limit, wait) =
-            (access.arrival.kb, access.due - now, (OVERHEAD + access.work).mul_f64(self.patience));
+        let wait = (OVERHEAD + access.work).mul_f64(self.patience);
+        let (kb, limit) = (access.arrival.kb, access.due - now);
         let weights = [server, source].map(|s| self.weight(s, access));
         let span = self.cold[0].0.span.max(self.cold[1].0.span);
         for (name, weight) in route.ends().zip(weights) {
@@ -561,11 +655,13 @@
             server.sent.push_back((now, weight));
             server.kb_under_way += kb;
             server.out += 1;
-
-            server.aside = server.aside.map(|(_, spacing)| (now + spacing, spacing));
+            server.record.sent(now);
         }
         turn.out.execute(id, &route.server, limit, &fill);
         self.fills_out += f64::from(filling);
+        if filling && self.own > 0.0 {
+            self.filled.entry(part_of(&access.arrival)).or_insert_with(|| (id.clone(), Vec::new()));
+        }
         let Some(access) = self.accesses.get_mut(id) else { return false };
         access.open += 1;
         let n = access.executions.len();
@@ -584,22 +680,23 @@
     fn look_into(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
-        // A copy would have been sent by now: it is being filled after all.
-        let filling = std::mem::replace(&mut execution.filling, true);
-        self.fills_out += f64::from(!filling);
+        // A copy would have been sent by now: it is being filled after all. Nothing fills an own one.
+        let own = route.made.is_some();
+        let filling = !own && std::mem::replace(&mut execution.filling, true);
+        self.fills_out += f64::from(!filling && !own);
         let usual = (OVERHEAD + access.work).mul_f64(self.patience);
         let silent = route.ends().find(|name| self.servers.get(*name).is_some_and(|s| s.heard < sent));
         let mut waits = silent.is_none() && turn.now < sent + usual * 2;
         if let Some(server) = silent.and_then(|name| self.servers.get_mut(name)) {
-            server.judge(turn.now, true, 1.0);
-            waits = filling && server.aside.is_none();
+            server.record.judge(turn.now, true, 1.0);
+            waits = filling && !server.record.is_aside();
         }
         if waits {
             let (id, route, wait) = (id.clone(), route.clone(), turn.now - sent);
             return self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)));
         }
         access.failed.push(silent.unwrap_or(&route.server).clone());
-        self.patience = (self.patience * PATIENCE_GROWS).min(PATIENCE_MOST);
+        self.patience = if own { self.patience } else { (self.patience * PATIENCE_GROWS).min(PATIENCE_MOST) };
         turn.out.cancel(id, n)
     }
 
@@ -612,7 +709,7 @@
         // one cache at a time: with one set aside after the other, the last would have to bear it all.
         let telling = [Tier::Cache, Tier::Parent].map(|tier| {
             let all = self.servers.iter().filter(|(_, s)| s.member.tier == tier);
-            let others = all.clone().any(|(name, s)| s.aside.is_some() && *name != route.server);
+            let others = all.clone().any(|(name, s)| s.record.is_aside() && *name != route.server);
             let best = all.map(|(_, s)| s.in_time).fold(0.0, f64::max);
             f64::from(tier == Tier::Parent || !others) * (0.5 / (1.0 - best)).log10().clamp(0.0, 1.0)
         });
@@ -649,20 +746,21 @@
             let counted = broken && std::mem::replace(&mut server.broke, now + OVERHEAD) > now;
             if weight > 0.0 && !counted {
                 let late = late_hit || late && (filled || server.member.tier != Tier::Cache);
-                server.judge(now, failed || late, weight);
+                server.record.judge(now, failed || late, weight);
             }
         }
         // Behind a parent the origin is judged by how long it kept a fill waiting.
         if matches!(ended.remark, Remark::OriginFailed | Remark::FilledByOrigin) {
             let slow = ended.first_byte > Some(self.categories[access.arrival.category].soft_limit);
             let origins = self.servers.values_mut().filter(|s| s.member.tier == Tier::Origin);
-            origins.for_each(|origin| origin.judge(now, failed || slow, 1.0));
+            origins.for_each(|origin| origin.record.judge(now, failed || slow, 1.0));
         }
-        if failed {
+        // An own copy says nothing of how servers are.
+        if failed || route.made.is_some() {
             return;
         }
         for (name, weight) in std::mem::take(&mut access.erred) {
-            self.servers.get_mut(&name).into_iter().for_each(|server| server.judge(now, true, weight));
+            self.servers.get_mut(&name).into_iter().for_each(|server| server.record.judge(now, true, weight));
         }
         self.patience = (self.patience * PATIENCE_FALLS).max(PATIENCE);
         if access.first {
@@ -684,14 +782,16 @@
             // A server that is dead or set aside, or a broken connection, says nothing of what the links bear.
             let dead = matches!(ended.outcome, Cancelled | Missing | Broken)
                 || ended.remark == Remark::SourceUnreached
-                || self.servers.get(&route.server).is_some_and(|s| s.aside.is_some());
+                || self.servers.get(&route.server).is_some_and(|s| s.record.is_aside());
             self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
+        self.pass_on(turn, id, ended.outcome == Honoured);
         let Some(access) = self.accesses.get_mut(id) else { return };
-        if matches!(ended.outcome, Error | TimedOut | Broken | Cancelled) && access.ran.is_none() {
+        let own = route.made.is_some();
+        if matches!(ended.outcome, Error | TimedOut | Broken | Cancelled) && access.ran.is_none() && !own {
             access.ran = Some((sent, route.server.clone()));
         }
-        if access.ended || ended.outcome == Missing {
+        if access.ended || ended.outcome == Missing && !own {
             return self.end(turn, id);
         }
         // Where the source alone failed the cache is asked again, with another.
@@ -705,6 +805,12 @@
     /// The final answer where none was honoured: a decline where a retry is safe, else a give-up.
     fn end(&mut self, turn: &mut Turn, id: &Id) {
         let Some(access) = self.accesses.get(id).filter(|a| !a.ended) else { return };
+        // Better than none: an own copy past its fresh time, within what its category allows.
+        let stale_for = self.categories[access.arrival.category].stale_for;
+        if !stale_for.is_zero() && access.open == 0 && self.own(turn, id, stale_for) {
+            return;
+        }
+        let Some(access) = self.accesses.get(id) else { return };
         self.ids.known(&access.arrival).into_iter().for_each(|seen| seen.unmet = true);
         let effect = self.categories[access.arrival.category].effect;
         let certain = access.open == 0 || effect == Effect::Idempotent;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -145,13 +145,15 @@
     Gone,
 }
 
-/// What a server is: a cache of a location, a parent of all locations, or the origin.
+/// What a server is: a cache of a location, a parent of all locations, the origin, or this router's own copies in
+/// memory or on disk, of which the list never tells: who has such adds them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Tier {
     #[default]
     Cache,
     Parent,
     Origin,
+    Own,
 }
 
 /// One entry of the list of cache servers, parents and origin.
@@ -162,6 +164,7 @@
     pub tier: Tier,
     pub cohort: u64,
     pub standing: Standing,
+    /// By the hint; of own copies: how many answers at a client's pace this router's link carries at once.
     pub capacity: f64,
     /// When it last started; none: long ago.
     pub started: Option<Duration>,
@@ -266,6 +269,17 @@
     pub renew: bool,
 }
 
+/// An own copy of what an access asks for.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// Which member of tier `Own` has it.
+    pub place: Id,
+    /// When the origin gave it out.
+    pub made: Duration,
+    /// The client holds the same one: it need only be told.
+    pub same: bool,
+}
+
 /// Through this a router acts. Each call takes effect at once, in the order made.
 pub trait Outlet {
     /// One execution, for at most `limit`; with no fill, the server is asked for what it holds.
@@ -279,4 +293,10 @@
     fn wake_at(&mut self, at: Duration, mark: u64);
     /// Asks for the changes of the list, where they come only to those who ask.
     fn watch_list(&mut self);
+    /// The own copy of what this access asks for, none where it is not known to be free of purges told.
+    fn held(&mut self, _access: &Id) -> Option<Held> {
+        None
+    }
+    /// What this access has just been honoured with is to be an own copy at this rank, from 1 to 3.
+    fn keep(&mut self, _access: &Id, _rank: u8) {}
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -13,7 +13,9 @@
 //!   expect PATTERN                one that matches, after those expected before; `*` is any word or the
 //!                                 rest, $X binds a word at first and stands for it afterwards
 //!   never PATTERN                 none      count PATTERN MIN MAX      so many
-//! Servers are named by a letter and a number: c caches, p parents, o the origin.
+//! Servers are named by a letter and a number: c caches, p parents, o the origin, m own copies (m1 in memory, m2 on
+//! a disk), of a link that carries two answers. What they hold is set by
+//!   own m1 object=X [part=0] [age=0] [same=0]      own gone object=X
 
 use chalkhall::control::Router;
 use chalkhall::interface::*;
@@ -30,6 +32,9 @@
 struct Record {
     lines: Vec<String>,
     wakes: BTreeMap<(Duration, u64), ()>,
+    /// What accesses ask for, and own copies: where, when made, whether the client has it.
+    asked: HashMap<Id, (String, u64)>,
+    own: HashMap<(String, u64), Held>,
 }
 
 impl Outlet for Record {
@@ -57,6 +62,12 @@
     fn watch_list(&mut self) {
         self.lines.push("watch".into());
     }
+    fn held(&mut self, access: &Id) -> Option<Held> {
+        self.own.get(self.asked.get(access)?).cloned()
+    }
+    fn keep(&mut self, access: &Id, rank: u8) {
+        self.lines.push(format!("keep {access} rank {rank}"));
+    }
 }
 
 fn category(effect: Effect, fresh: Option<Duration>, cacheable: bool) -> Category {
@@ -125,6 +136,7 @@
         tier: match &name[..1] {
             "c" => Tier::Cache,
             "p" => Tier::Parent,
+            "m" => Tier::Own,
             _ => Tier::Origin,
         },
         cohort: 0,
@@ -133,7 +145,7 @@
             "gone" => Standing::Gone,
             _ => Standing::Active,
         },
-        capacity: 6.0,
+        capacity: if name.starts_with('m') { 2.0 } else { 6.0 },
         started: state.parse().ok().map(ms),
     }
 }
@@ -194,6 +206,7 @@
             told.max_executions = field("executions", 6) as usize;
             told.joins = field("joins", 0) == 1;
             told.list_on_request = field("ask", 0) == 1;
+            told.categories[1].stale_for = ms(field("stale", 0));
             continue;
         }
         let router = router.get_or_insert_with(|| Router::start(now, &told, &mut record));
@@ -234,6 +247,7 @@
                         left: ms(field("left", 4000)),
                         repeated: field("repeated", 0) == 1,
                     };
+                    record.asked.insert(id.as_str().into(), (object.to_owned(), arrival.part));
                     router.access(now, arrival, &mut record);
                 }
             }
@@ -264,6 +278,15 @@
                 let object = rest.iter().find_map(|w| w.strip_prefix("object=")).map(Id::from);
                 router.purged(now, object, field("group", 0), ms(field("ago", 0)));
             }
+            "own" => {
+                let object = rest.iter().find_map(|w| w.strip_prefix("object=")).expect("an object");
+                let part = (object.to_owned(), field("part", 0));
+                let (made, same) = (now.saturating_sub(ms(field("age", 0))), field("same", 0) == 1);
+                match rest[0] {
+                    "gone" => record.own.remove(&part),
+                    place => record.own.insert(part, Held { place: place.into(), made, same }),
+                };
+            }
             "clear" => (record.lines, expected) = (vec![], 0),
             "expect" => {
                 let found = record.lines[expected..].iter().position(|l| matches(l, &pattern, &mut bound));
