--- a/crates/directives/src/words.rs
+++ b/crates/directives/src/words.rs
@@ -176,7 +176,7 @@
         },
     },
     one("store", "segment", "SIZE", "how long a segment file gets", |told, words| {
-        told.store.segment = bytes_within(words[0], 1 << 20, 1 << 30)?;
+        told.store.segment = bytes_within(words[0], 1_000_000, 1 << 30)?;
         Ok(())
     }),
     one("store", "index-memory", "SIZE|SHARE", "memory for the table of the parts on disk", |told, words| {
--- a/crates/router/src/board.rs
+++ b/crates/router/src/board.rs
@@ -111,11 +111,12 @@
     async fn line(&mut self, line: &[u8]) -> Result<(), String> {
         let value: Value = serde_json::from_slice(line).map_err(|e| format!("not JSON: {e}"))?;
         if let Some(number) = value.as_u64() {
-            return if number > self.last {
-                Err(format!("at {number}, {} came last", self.last))
-            } else {
-                Ok(())
-            };
+            if number > self.last {
+                return Err(format!("at {number}, {} came last", self.last));
+            }
+            // Where it finds no place the next one will.
+            let _ = self.decider.try_send(Notice::Heard);
+            return Ok(());
         }
         let number = value.get("rev").and_then(Value::as_u64).ok_or("an event without a number")?;
         if number <= self.last {
--- a/crates/router/src/clock.rs
+++ b/crates/router/src/clock.rs
@@ -31,6 +31,11 @@
         self.zero.checked_add(at.saturating_sub(self.past)).unwrap_or_else(far)
     }
 
+    /// A span since the zero as a stamp of the system's clock, in milliseconds.
+    pub fn unix_ms(&self, at: Duration) -> u64 {
+        (self.unix + at).as_millis() as u64
+    }
+
     /// A stamp of the system's clock, in milliseconds, as a span since the zero.
     pub fn at_unix_ms(&self, ms: u64) -> Duration {
         Duration::from_millis(ms).saturating_sub(self.unix)
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -5,7 +5,7 @@
 use crate::lines::{Answer, Passed, ask};
 use crate::link::{Ask, Key};
 use crate::notices::Notice;
-use crate::own::Own;
+use crate::own::{Got, Own};
 use crate::phase::Phase;
 use crate::server::{Order, Server};
 use crate::told::Limits;
@@ -14,6 +14,7 @@
 use chalkhall::interface::{
     self, Arrival, Deployment, Effect, Fill, Held, Id, ListKind, Member, Outcome, Outlet, Standing,
 };
+use chalkhall_store::threads::End;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -42,6 +43,8 @@
     /// So many bytes of bodies have been written to a client, or dropped.
     Written(usize),
     Ended(Ended),
+    /// An order to the disk of own copies has ended.
+    Disk(End),
     Stop,
 }
 
@@ -82,9 +85,15 @@
     GivenUp,
 }
 
+/// Who waits for a final answer: a client, or the store, which is told by other ways.
+enum To {
+    Client(mpsc::Sender<Reply>),
+    Store,
+}
+
 /// Of an access: to whom its final answer goes, until it has gone, and its executions.
 struct Taken {
-    client: Option<mpsc::Sender<Reply>>,
+    client: Option<To>,
     tag: u64,
     arrival: Arrival,
     passed: Passed,
@@ -132,10 +141,14 @@
 impl Desk {
     fn reply(&mut self, id: &Id, last: Last) -> bool {
         let Some(taken) = self.accesses.get_mut(id) else { return false };
-        let Some(client) = taken.client.take() else { return false };
+        let Some(to) = taken.client.take() else { return false };
         let bytes = if let Last::Honoured { body, .. } = &last { body.len() } else { 0 };
         // A client has no more accesses open than its mailbox holds; where it fails, the client has gone.
-        if client.try_send(Reply { tag: taken.tag, id: id.clone(), last }).is_ok() {
+        let reply =
+            |client: mpsc::Sender<Reply>| client.try_send(Reply { tag: taken.tag, id: id.clone(), last });
+        if let To::Client(client) = to
+            && reply(client).is_ok()
+        {
             self.in_hand += bytes;
         }
         self.answered.push(id.clone());
@@ -148,9 +161,10 @@
         let Some(taken) = self.accesses.get_mut(access) else { return };
         let key = (access.clone(), taken.executions.len());
         if let Some(own) = self.own.as_mut().filter(|own| own.is_place(server)) {
-            let answer = own.answer(&taken.arrival, taken.passed.have.as_ref()).map(Box::new);
-            let outcome = if answer.is_some() { Outcome::Honoured } else { Outcome::Missing };
-            self.ends.push_back(Ended { key, outcome, answer });
+            let got = own.execute(&key, server, &taken.arrival, taken.passed.have.as_ref());
+            if let Some((outcome, answer)) = got {
+                self.ends.push_back(Ended { key, outcome, answer });
+            }
             taken.executions.push(Execution { server: None, sent: self.now, open: true });
             self.out += 1;
             return;
@@ -182,6 +196,10 @@
     }
 
     fn cancel(&mut self, access: &Id, execution: usize) {
+        let key = (access.clone(), execution);
+        if self.own.as_mut().is_some_and(|own| own.cancel(&key)) {
+            return self.ends.push_back(Ended { key, outcome: Outcome::Cancelled, answer: None });
+        }
         let executions = self.accesses.get(access).map(|taken| &taken.executions);
         let out = executions.and_then(|e| e.get(execution)).filter(|e| e.open);
         if let Some(server) = out.and_then(|out| out.server.as_ref()) {
@@ -200,7 +218,7 @@
 
     fn held(&mut self, access: &Id) -> Option<Held> {
         let taken = self.accesses.get(access)?;
-        self.own.as_ref()?.held(&taken.arrival, taken.passed.have.as_ref())
+        self.own.as_mut()?.held(&taken.arrival, taken.passed.have.as_ref())
     }
 
     fn keep(&mut self, access: &Id, rank: u8) {
@@ -276,17 +294,22 @@
     /// What the notice board tells goes before all else: after a pause of the whole program, as on a machine that
     /// others share, a drain or a purge may wait unread for longer than its grace, behind accesses and timers.
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<Message>, mut notices: mpsc::Receiver<Notice>) {
+        let mut due_at = self.desk.now;
         loop {
             self.desk.now = self.desk.clock.now();
             self.wake();
+            self.tick(self.desk.now.saturating_sub(due_at));
             let phase = *self.phase.borrow();
-            let open = || self.desk.accesses.values().filter(|taken| taken.client.is_some()).count();
+            let waits = |taken: &&Taken| matches!(taken.client, Some(To::Client(_)));
+            let open = || self.desk.accesses.values().filter(waits).count();
             if phase.at(self.desk.now, open) == Phase::Ended {
                 return self.finish();
             }
             let due = self.desk.timers.peek().map(|Reverse((at, _))| *at);
-            let look = due.into_iter().chain(phase.next_look(self.desk.now)).min();
+            let own = self.desk.own.as_ref().and_then(|own| own.next_look(self.desk.now));
+            let look = due.into_iter().chain(phase.next_look(self.desk.now)).chain(own).min();
             let look = look.unwrap_or(Duration::MAX).min(self.desk.now + LOOK_EVERY);
+            due_at = look;
             let message = tokio::select! {
                 biased;
                 Some(notice) = notices.recv() => {
@@ -328,6 +351,7 @@
                 self.router.left(self.desk.now, &id, &mut self.desk);
             }
         }
+        self.desk.own.take().into_iter().for_each(Own::close);
         self.phase.send_replace(Phase::Ended);
     }
 
@@ -349,7 +373,8 @@
             Message::Left(id, tag, client) => {
                 // Another's access may bear the same id: it is not this client's to end.
                 let own = |taken: &&mut Taken| {
-                    taken.tag == tag && taken.client.as_ref().is_some_and(|c| c.same_channel(&client))
+                    taken.tag == tag
+                        && matches!(&taken.client, Some(To::Client(c)) if c.same_channel(&client))
                 };
                 if let Some(taken) = self.desk.accesses.get_mut(&id).filter(own) {
                     taken.client = None;
@@ -359,6 +384,7 @@
             }
             Message::Written(bytes) => self.desk.in_hand = self.desk.in_hand.saturating_sub(bytes),
             Message::Ended(ended) => self.ended(ended),
+            Message::Disk(end) => self.disk(end),
             Message::Stop => {
                 let phase = *self.phase.borrow();
                 log::info!("asked to stop, with {} accesses open", self.desk.accesses.len());
@@ -388,7 +414,8 @@
         arrival.left = arrival.left.saturating_sub(self.desk.now.saturating_sub(read_at));
         let once = self.once.get(arrival.category) == Some(&true);
         let (executions, kept) = (Vec::new(), arrival.clone());
-        let taken = Taken { client: Some(client), tag, arrival: kept, passed, once, executions };
+        let client = Some(To::Client(client));
+        let taken = Taken { client, tag, arrival: kept, passed, once, executions };
         self.desk.accesses.insert(arrival.id.clone(), taken);
         self.router.access(self.desk.now, arrival, &mut self.desk);
     }
@@ -427,6 +454,9 @@
                     Last::Honoured { etag, body: answer.body.clone() }
                 };
                 desk.reply(&id, last);
+                if let (true, Some(own), Some(taken)) = (by_server, &mut desk.own, desk.accesses.get(&id)) {
+                    own.answered(&taken.arrival, &answer, taken.passed.have.as_ref());
+                }
                 desk.brought = (by_server && !answer.same).then(|| (id.clone(), answer));
             }
         }
@@ -436,6 +466,32 @@
         desk.brought = None;
     }
 
+    /// An order to the disk has ended: with it perhaps executions that waited for it.
+    fn disk(&mut self, end: End) {
+        let Some(own) = &mut self.desk.own else { return };
+        own.ended(end);
+        let got = own.got();
+        for (key, fetched) in got {
+            let (Some(own), Some(taken)) = (&self.desk.own, self.desk.accesses.get(&key.0)) else { continue };
+            let (outcome, answer): Got =
+                own.answer_from(&fetched, &taken.arrival, taken.passed.have.as_ref());
+            self.desk.ends.push_back(Ended { key, outcome, answer });
+        }
+    }
+
+    /// Background work of own copies, and the accesses by which unproven ones are asked about.
+    fn tick(&mut self, late: Duration) {
+        let Some(own) = &mut self.desk.own else { return };
+        own.tick(late);
+        for (arrival, passed) in own.asks() {
+            let (client, kept, executions) = (Some(To::Store), arrival.clone(), Vec::new());
+            let taken = Taken { client, tag: 0, arrival: kept, passed, once: false, executions };
+            self.desk.accesses.insert(arrival.id.clone(), taken);
+            self.router.access(self.desk.now, arrival, &mut self.desk);
+            self.settle();
+        }
+    }
+
     /// Tells the decisions of what could not be sent, and forgets accesses that are answered and all back.
     fn settle(&mut self) {
         while let Some(ended) = self.desk.ends.pop_front() {
@@ -452,6 +508,7 @@
     pub fn notice(&mut self, notice: Notice) {
         let now = self.desk.clock.now();
         match notice {
+            Notice::Heard => self.desk.own.iter_mut().for_each(Own::heard),
             Notice::Purge { object, group, ms } => {
                 let ago = now.saturating_sub(self.desk.clock.at_unix_ms(ms));
                 if let Some(own) = &mut self.desk.own {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,15 +17,18 @@
 
 use board::{Anew, Board};
 use chalkhall_directives::Told as Directives;
+use chalkhall_store::threads::End;
 use client::Door;
 use clock::Clock;
 use decider::{Decider, Message};
 use own::Own;
 use phase::Phase;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local};
+use tokio::time::timeout;
 use told::Told;
 
 /// Messages waiting for the decisions. Who brings more waits, and reads nothing meanwhile.
@@ -44,6 +47,9 @@
     LocalSet::new().block_on(&runtime, run(clock, directives))
 }
 
+/// For the disk of own copies to be closed at the end.
+const LAST_WRITES: Duration = Duration::from_millis(300);
+
 fn read(clock: &Clock) -> Result<Told, String> {
     told::told(|name| std::env::var(name).ok(), clock)
 }
@@ -56,7 +62,8 @@
     let (phase_of, phase) = watch::channel(Phase::Starting);
     let (decider, mailbox) = mpsc::channel(MESSAGES_MOST);
     let (limits, serving) = (told.limits.clone(), phase_of.clone());
-    let own = Own::open(&directives.store, &told, clock)?;
+    let (own, disk) = Own::open(&directives.store, &told, clock)?.unzip();
+    let disk = disk.flatten().map(|ends| spawn_local(pass_on(ends, decider.clone())));
     let mut decisions = Decider::start(clock, &told.deployment, limits, phase_of, decider.clone(), own);
     // The list comes before the first access.
     let known = std::mem::take(&mut told.known).into_iter().filter_map(|(_, notice)| notice);
@@ -84,10 +91,21 @@
     listener::run(socket, most, door, decider, phase).await;
     // Without decisions nothing can be answered: better to be started anew than to go on.
     deciding.await.map_err(|what| format!("the decisions failed: {what}"))?;
+    if let Some(disk) = disk {
+        // What was written is there anyway; this only makes the next start quick.
+        let _ = timeout(LAST_WRITES, disk).await;
+    }
     log::info!("{name} ended");
     Ok(())
 }
 
+/// Hands on how the disk's orders ended, until its threads have.
+async fn pass_on(mut ends: mpsc::Receiver<End>, decider: mpsc::Sender<Message>) {
+    while let Some(end) = ends.recv().await {
+        let _ = decider.send(Message::Disk(end)).await;
+    }
+}
+
 async fn heed(mut stop: Signal, decider: mpsc::Sender<Message>) {
     while stop.recv().await.is_some() {
         let _ = decider.send(Message::Stop).await;
--- a/crates/router/src/notices.rs
+++ b/crates/router/src/notices.rs
@@ -16,8 +16,17 @@
 
 #[derive(Debug)]
 pub enum Notice {
-    List { whole: bool, members: Vec<(Member, SocketAddr)> },
-    Purge { object: Option<Id>, group: u64, ms: u64 },
+    List {
+        whole: bool,
+        members: Vec<(Member, SocketAddr)>,
+    },
+    Purge {
+        object: Option<Id>,
+        group: u64,
+        ms: u64,
+    },
+    /// The board has nothing newer than what it told.
+    Heard,
 }
 
 /// One numbered event; an event of a kind that is not known is none.
--- a/crates/router/src/own.rs
+++ b/crates/router/src/own.rs
@@ -1,90 +1,240 @@
-//! The router's own copies, as the desk asks for them: names, clocks and bounds between the store and the decisions.
+//! The router's own copies, as the desk asks for them: names, clocks, bounds and threads between the store and the
+//! decisions.
 
 use crate::clock::Clock;
-use crate::lines::Answer;
+use crate::lines::{Answer, Passed};
+use crate::link::Key;
 use crate::told::Told;
 use bytes::Bytes;
-use chalkhall::interface::{Arrival, Category, Held, Id, Member, Outcome, Remark, Standing, Tier};
-use chalkhall_directives::Store as Wanted;
+use chalkhall::interface::{Arrival, Category, Held, Id, Load, Member, Outcome, Remark, Standing, Tier};
+use chalkhall_directives::Store as Wishes;
+use chalkhall_store::catalogue::Line;
 use chalkhall_store::copy::Copy;
+use chalkhall_store::decide::disk::{Disk, Fetched, Outlet, SEGMENTS_LEAST, Wanted};
 use chalkhall_store::decide::{Part, Place, Store};
+use chalkhall_store::files::{Directory, Files};
+use chalkhall_store::threads::{self, End, Threads};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
 
 /// What the router takes beside bodies and own copies, and what of the rest they may fill together: an allocator
 /// needs some room of its own.
 const BESIDE: u64 = 8 << 20;
 const USABLE: f64 = 0.75;
-/// How its place is called; no listed server's name holds a colon and nothing before it.
+/// How the places are called; no listed server's name begins with a colon.
 const MEMORY: &str = ":memory";
+const DISK: &str = ":disk";
+/// A purge made before is told by now: the board says nothing of what it has not been told itself.
+const TOLD_WITHIN: Duration = Duration::from_secs(10);
 
 pub struct Own {
     store: Store,
+    shelf: Shelf,
     clock: Clock,
     categories: Vec<(Bytes, Category)>,
-    memory: Id,
+    places: [Id; 2],
     /// Bytes that bodies and own copies may fill together.
     usable: u64,
     link: f64,
+    chance: fastrand::Rng,
+    /// Reads that accesses wait for.
+    waiting: HashMap<u64, Key>,
 }
 
+/// Between the store and its threads, and what it wants of the router.
+#[derive(Default)]
+struct Shelf {
+    threads: Option<Threads>,
+    fetched: Vec<(u64, Fetched)>,
+    unproven: Vec<Copy>,
+}
+
+impl Shelf {
+    fn order(&mut self, order: impl FnOnce(&mut Threads) -> bool) -> bool {
+        self.threads.as_mut().is_some_and(order)
+    }
+}
+
+impl Outlet for Shelf {
+    fn read(&mut self, ticket: u64, segment: u32, at: u32, length: u32) -> bool {
+        self.order(|t| t.read(ticket, segment, at, length))
+    }
+    fn list(&mut self, segment: u32) -> bool {
+        self.order(|t| t.list(segment))
+    }
+    fn recover(&mut self, segment: u32) -> bool {
+        self.order(|t| t.recover(segment))
+    }
+    fn begin(&mut self, segment: u32, class: u32) -> bool {
+        self.order(|t| t.begin(segment, class))
+    }
+    fn append(&mut self, ticket: u64, segment: u32, at: u32, record: Vec<u8>) -> bool {
+        self.order(|t| t.append(ticket, segment, at, record))
+    }
+    fn sync(&mut self, segment: u32, up_to: u32) -> bool {
+        self.order(|t| t.sync(segment, up_to))
+    }
+    fn seal(&mut self, segment: u32, at: u32, footer: Vec<u8>) -> bool {
+        self.order(|t| t.seal(segment, at, footer))
+    }
+    fn remove(&mut self, segment: u32) -> bool {
+        self.order(|t| t.remove(segment))
+    }
+    fn mark(&mut self, lines: Vec<Line>) -> bool {
+        self.order(|t| t.mark(lines))
+    }
+    fn fetched(&mut self, ticket: u64, fetched: Fetched) {
+        self.fetched.push((ticket, fetched));
+    }
+    fn revalidate(&mut self, copy: &Copy) {
+        // Its body is not needed, and would keep the whole record.
+        let own = |bytes: &Bytes| Bytes::copy_from_slice(bytes);
+        let (object, tag, category) = (own(&copy.object), own(&copy.tag), own(&copy.category));
+        self.unproven.push(Copy { object, tag, category, body: Bytes::new(), ..copy.clone() });
+    }
+}
+
+/// Own copies, and with a disk how its orders end.
+pub type Opened = (Own, Option<mpsc::Receiver<End>>);
+
+/// What became of an execution at an own copy.
+pub type Got = (Outcome, Option<Box<Answer>>);
+
 impl Own {
-    /// None: no own copies are wanted.
-    pub fn open(wanted: &Wanted, told: &Told, clock: Clock) -> Result<Option<Own>, String> {
-        let Some(memory) = wanted.memory else { return Ok(None) };
+    /// None: no own copies are wanted. With a disk also the ends of what it is ordered, for `ended`.
+    ///
+    /// # Errors
+    /// What is wanted cannot be, and which directive says so.
+    pub fn open(wishes: &Wishes, told: &Told, clock: Clock) -> Result<Option<Opened>, String> {
+        if wishes.memory.is_none() && wishes.disk.is_none() {
+            return Ok(None);
+        }
         let limit = told.limits.memory;
         let usable = (limit.saturating_sub(BESIDE) as f64 * USABLE) as u64;
-        let most = memory.of(limit).min(usable);
-        log::info!("own copies in memory: up to {most} bytes");
+        let most = wishes.memory.map_or(0, |memory| memory.of(limit).min(usable));
+        let mut shelf = Shelf::default();
+        let (mut disk, mut ends) = (None, None);
+        if let Some((path, bytes)) = &wishes.disk {
+            let wanted = wanted(wishes, *bytes, limit, usable)?;
+            let path = path.clone();
+            let take = move || {
+                let taken = Directory::take(&path).map_err(|what| format!("{}: {what}", path.display()))?;
+                Ok(Arc::new(taken) as Arc<dyn Files>)
+            };
+            let number = fastrand::u64(1..);
+            let started =
+                threads::start(take, number, wishes.readers).map_err(|e| format!("store: disk: {e}"))?;
+            (shelf.threads, ends) = (Some(started.0), Some(started.1));
+            disk = Some(Disk::new(wanted, clock.now(), clock.unix_ms(clock.now())));
+        }
+        log::info!(memory_bytes = most, disk_bytes = wishes.disk.as_ref().map_or(0, |d| d.1); "own copies");
         let names = told.categories.iter().map(|name| Bytes::copy_from_slice(name.as_bytes()));
-        Ok(Some(Own {
-            store: Store::new(most),
+        let own = Own {
+            store: Store::new(most, disk),
+            shelf,
             clock,
             categories: names.zip(told.deployment.categories.iter().cloned()).collect(),
-            memory: MEMORY.into(),
+            places: [MEMORY.into(), DISK.into()],
             usable,
             link: told.own_link.unwrap_or(f64::INFINITY),
-        }))
+            chance: fastrand::Rng::with_seed(told.deployment.seed.rotate_left(7)),
+            waiting: HashMap::new(),
+        };
+        Ok(Some((own, ends)))
     }
 
     /// The places that an access can go to, for the decisions' list.
     pub fn members(&self) -> Vec<Member> {
-        vec![Member {
-            server: self.memory.clone(),
+        let places = self.places.iter().take(1 + usize::from(self.store.disk().is_some()));
+        let member = |server: &Id| Member {
+            server: server.clone(),
             tier: Tier::Own,
             standing: Standing::Active,
             capacity: self.link,
             ..Member::default()
-        }]
+        };
+        places.map(member).collect()
     }
 
     pub fn is_place(&self, server: &Id) -> bool {
-        *server == self.memory
+        self.places.contains(server)
     }
 
-    pub fn held(&self, arrival: &Arrival, have: Option<&Bytes>) -> Option<Held> {
+    pub fn held(&mut self, arrival: &Arrival, have: Option<&Bytes>) -> Option<Held> {
         let found = self.store.find(part(arrival), have.map(|tag| &tag[..]))?;
-        let place = match found.place {
-            Place::Memory => self.memory.clone(),
+        let place = &self.places[usize::from(found.place == Place::Disk)];
+        Some(Held { place: place.clone(), made: self.clock.at_unix_ms(found.made), same: found.same })
+    }
+
+    /// An execution at an own copy: how it ended; none: it will be among the `got` later.
+    pub fn execute(
+        &mut self,
+        key: &Key,
+        server: &Id,
+        arrival: &Arrival,
+        have: Option<&Bytes>,
+    ) -> Option<Got> {
+        let now = self.clock.now();
+        if *server == self.places[1] {
+            // A disk whose mailboxes are full is as good as none.
+            return match self.store.fetch(now, part(arrival), &mut self.shelf) {
+                Some(ticket) => {
+                    self.waiting.insert(ticket, key.clone());
+                    None
+                }
+                None => Some((Outcome::Unreachable, None)),
+            };
+        }
+        let copy = self.store.take(now, part(arrival));
+        Some(copy.map_or((Outcome::Missing, None), |copy| self.answer(&copy, arrival, have)))
+    }
+
+    /// An execution that waits for the disk is called off. False: it does not.
+    pub fn cancel(&mut self, key: &Key) -> bool {
+        let Some(ticket) = self.waiting.iter().find(|(_, k)| *k == key).map(|(ticket, _)| *ticket) else {
+            return false;
         };
-        Some(Held { place, made: self.clock.at_unix_ms(found.made), same: found.same })
+        self.waiting.remove(&ticket);
+        self.store.disk_mut().into_iter().for_each(|disk| disk.leave(ticket));
+        true
+    }
+
+    /// The executions that have come back from the disk, and what they brought.
+    pub fn got(&mut self) -> Vec<(Key, Fetched)> {
+        let fetched = std::mem::take(&mut self.shelf.fetched);
+        fetched
+            .into_iter()
+            .filter_map(|(ticket, fetched)| Some((self.waiting.remove(&ticket)?, fetched)))
+            .collect()
     }
 
-    /// The answer from a copy in memory; none: it has left meanwhile.
-    pub fn answer(&mut self, arrival: &Arrival, have: Option<&Bytes>) -> Option<Answer> {
-        let copy = self.store.take(part(arrival))?;
+    pub fn answer_from(&self, fetched: &Fetched, arrival: &Arrival, have: Option<&Bytes>) -> Got {
+        match fetched {
+            Fetched::Copy(copy) => self.answer(copy, arrival, have),
+            Fetched::Gone => (Outcome::Missing, None),
+            Fetched::Failed => (Outcome::Unreachable, None),
+        }
+    }
+
+    fn answer(&self, copy: &Rc<Copy>, arrival: &Arrival, have: Option<&Bytes>) -> Got {
         let age = self.clock.now().saturating_sub(self.clock.at_unix_ms(copy.made));
         let fresh = self.categories.get(arrival.category).and_then(|(_, category)| category.fresh);
         let same = have.is_some_and(|tag| !tag.is_empty() && *tag == copy.tag);
-        Some(Answer {
+        let answer = Answer {
             id: Bytes::new(),
             outcome: Outcome::Honoured,
             same,
             remark: if fresh.is_some_and(|fresh| age >= fresh) { Remark::Stale } else { Remark::Hit },
             first_byte: None,
-            load: chalkhall::interface::Load::default(),
+            load: Load::default(),
             etag: Some(copy.tag.clone()).filter(|tag| !tag.is_empty()),
             made: Some(copy.made),
             body: if same { Bytes::new() } else { copy.body.clone() },
-        })
+        };
+        (Outcome::Honoured, Some(Box::new(answer)))
     }
 
     /// Keeps what a server has answered. Only what says when it was made can be judged later.
@@ -105,26 +255,148 @@
             tag: answer.etag.as_deref().map(own).unwrap_or_default(),
             body: own(&answer.body),
         };
-        self.store.keep(copy, rank);
+        self.store.keep(self.clock.now(), copy, rank, &mut self.shelf);
     }
 
     pub fn rank(&mut self, arrival: &Arrival, rank: u8) {
         self.store.rank(part(arrival), rank);
     }
 
+    /// A server has answered: by its tag a copy on disk from before the start holds, or does not.
+    pub fn answered(&mut self, arrival: &Arrival, answer: &Answer, have: Option<&Bytes>) {
+        let tag = answer.etag.as_ref().or(have.filter(|_| answer.same));
+        if let (Some(tag), Some(made), true) = (tag, answer.made, self.store.disk().is_some()) {
+            self.store.proven(part(arrival), tag, made);
+            self.store.disproven(part(arrival), &mut self.shelf);
+        }
+    }
+
     pub fn purged(&mut self, object: Option<&Id>, group: u64, ms: u64) {
-        self.store.purge(object.map(|o| o.as_bytes()), group, ms);
+        self.store.purge(object.map(|o| o.as_bytes()), group, ms, &mut self.shelf);
+    }
+
+    /// The notice board has nothing that was not told.
+    pub fn heard(&mut self) {
+        let ms = self.clock.unix_ms(self.clock.now().saturating_sub(TOLD_WITHIN));
+        self.store.disk_mut().into_iter().for_each(|disk| disk.heard(ms));
     }
 
     /// Bodies of so many bytes are in hand or to come: own copies give way first.
     pub fn beside(&mut self, bodies: f64) {
-        let left = self.usable.saturating_sub(bodies as u64);
+        let tables = self.store.bytes() - self.store.memory().bytes();
+        let left = self.usable.saturating_sub(bodies as u64 + tables);
         if self.store.memory().bytes() > left {
             self.store.give_way(left);
         }
     }
+
+    /// An order to the disk has ended.
+    pub fn ended(&mut self, end: End) {
+        let (now, store, shelf) = (self.clock.now(), &mut self.store, &mut self.shelf);
+        match end {
+            End::Opened { known, segments } => {
+                log::info!(segments = segments.len(); "store: opened");
+                store.opened(&known, segments, shelf);
+            }
+            End::Refused(why) => {
+                log::error!("store: the disk is not used: {why}");
+                shelf.threads = None;
+                store.disk_mut().into_iter().for_each(|disk| disk.refused(why.clone()));
+            }
+            End::Read { ticket, result } => store.read(now, ticket, result, shelf),
+            End::Listed { segment, result } => store.listed(now, segment, result, shelf),
+            End::Recovered { segment, result } => store.recovered(now, segment, result, shelf),
+            End::Appended { ticket, result } => store.appended(now, ticket, result, shelf),
+            End::Synced { segment, up_to, result } => store.synced(now, segment, up_to, result, shelf),
+            End::Sealed { segment, at, result } => store.sealed(now, segment, at, result, shelf),
+            End::Removed { segment, result } => store.removed(now, segment, result, shelf),
+            End::Marked(result) => store.marked(result, shelf),
+        }
+    }
+
+    /// Whatever is due of background work; the router's own turns come so late.
+    pub fn tick(&mut self, late: Duration) {
+        let now = self.clock.now();
+        self.store.disk_mut().into_iter().for_each(|disk| disk.turn(now, late));
+        self.store.tick(now, &mut self.shelf);
+    }
+
+    pub fn next_look(&self, now: Duration) -> Option<Duration> {
+        self.store.disk()?.next_look(now)
+    }
+
+    /// Accesses of the router itself, by which unproven copies are asked about.
+    pub fn asks(&mut self) -> Vec<(Arrival, Passed)> {
+        let unproven = std::mem::take(&mut self.shelf.unproven);
+        let asks = unproven.into_iter().filter_map(|copy| {
+            let category = self.categories.iter().position(|(name, _)| *name == copy.category)?;
+            let object = std::str::from_utf8(&copy.object).ok()?;
+            let id = format!("{:016x}", self.chance.u64(..));
+            let arrival = Arrival {
+                id: id.as_str().into(),
+                category,
+                customer: 0,
+                object: object.into(),
+                part: copy.part,
+                group: copy.group,
+                kb: copy.kb,
+                left: self.categories[category].1.hard_limit,
+                repeated: true,
+            };
+            let passed = Passed {
+                id: id.into(),
+                category: copy.category,
+                object: copy.object,
+                part: copy.part.to_string().into(),
+                have: Some(copy.tag),
+                body: Bytes::new(),
+            };
+            Some((arrival, passed))
+        });
+        asks.collect()
+    }
+
+    /// Seals what is open on disk. Its threads end when they are done.
+    pub fn close(mut self) {
+        if let Some(disk) = self.store.disk_mut() {
+            disk.close(self.clock.now(), &mut self.shelf);
+        }
+    }
 }
 
 fn part(arrival: &Arrival) -> Part<'_> {
     Part { object: arrival.object.as_bytes(), part: arrival.part, group: arrival.group }
 }
+
+fn wanted(wishes: &Wishes, bytes: u64, limit: u64, usable: u64) -> Result<Wanted, String> {
+    let segment = u32::try_from(wishes.segment).map_err(|_| "store: segment is too large")?;
+    let least = wishes.segment * SEGMENTS_LEAST as u64;
+    if bytes < least {
+        return Err(format!(
+            "store: disk {bytes} bytes is too small: {SEGMENTS_LEAST} segments take {least}"
+        ));
+    }
+    let index = wishes.index.of(limit).min(usable / 2);
+    let parts = chalkhall_store::decide::index::Index::parts_most(index);
+    if parts < 1000 {
+        return Err(format!("store: index-memory {index} bytes is too small: it holds {parts} parts"));
+    }
+    log::info!(index_bytes = index, parts_at_most = parts; "store: index");
+    Ok(Wanted {
+        bytes,
+        segment,
+        index,
+        write_rate: wishes.write_rate,
+        write_day: wishes.write_day,
+        least_fresh: wishes.least_fresh,
+        carry: wishes.carry,
+        sync_after: wishes.sync_after,
+        sync_bytes: wishes.sync_bytes,
+        known_purges: wishes.known_purges,
+        revalidate: wishes.revalidate,
+        read_ahead: wishes.read_ahead,
+        scrub: wishes.scrub,
+        yield_over: wishes.yield_over,
+        admit_all: false,
+    })
+}
--- a/crates/router/tests/program/own.rs
+++ b/crates/router/tests/program/own.rs
@@ -155,3 +155,117 @@
         assert!(text.contains(part), "{part} in {text}");
     }
 }
+
+fn on_disk(world: &mut World, more: &str) -> std::path::PathBuf {
+    let path = world.path().with_file_name("copies");
+    let disk = path.display();
+    world.directives =
+        format!("store {{\n disk {disk} 64MB\n segment 1MB\n sync-after 20ms\n least-fresh 0\n{more}\n}}\n");
+    path
+}
+
+/// Asks until the router answers by itself. Whatever comes to the server meanwhile is answered like this.
+fn until_own(client: &mut Client, server: &mut Line, body: &[u8]) {
+    let mut own = false;
+    until("an own copy", || {
+        ask_first(client);
+        let came = loop {
+            if client.ready() {
+                break false;
+            }
+            if server.ready() {
+                break true;
+            }
+        };
+        if came {
+            let asked = server.asked();
+            server.answer(&asked, "OK", &made(0), body);
+        }
+        assert_eq!(client.answer().3, body);
+        own = !came;
+        own
+    });
+}
+
+#[test]
+fn copies_on_disk_outlive_a_kill_and_an_orderly_end() {
+    let mut world = World::new();
+    on_disk(&mut world, " known-purges 1h");
+    let body = vec![9; 30_000];
+    let mut program = world.start();
+    let mut client = program.client();
+    ask_first(&mut client);
+    let mut server = world.server("c1").accept();
+    server.serve(&body);
+    client.answer();
+    until_own(&mut client, &mut server, &body);
+    for end in ["KILL", "TERM"] {
+        program.signal(end);
+        program.ended();
+        program = world.start();
+        client = program.client();
+        let mut first = None;
+        // What it wrote is there, once its index is: until then the server is asked.
+        until("an own copy", || {
+            ask_first(&mut client);
+            until("an answer", || {
+                if let Some(mut line) = world.server("c1").try_accept() {
+                    line.serve(&body);
+                    first = Some(line);
+                }
+                client.ready()
+                    || first.as_mut().is_some_and(|line| {
+                        if line.ready() {
+                            line.serve(&body);
+                        }
+                        client.ready()
+                    })
+            });
+            let (_, word, fields, found) = client.answer();
+            assert_eq!((word.as_str(), &found), ("ACK", &body));
+            fields == format!("ver={}", &TAG[5..]) && !first.as_mut().is_some_and(|line| line.ready())
+        });
+    }
+}
+
+#[test]
+fn a_copy_from_before_the_start_is_asked_about_and_then_served() {
+    let mut world = World::new();
+    on_disk(&mut world, " revalidate 100");
+    let body = vec![9; 30_000];
+    let mut program = world.start();
+    let mut client = program.client();
+    ask_first(&mut client);
+    let mut server = world.server("c1").accept();
+    server.serve(&body);
+    client.answer();
+    until_own(&mut client, &mut server, &body);
+    program.terminate();
+    program.ended();
+    let program = world.start();
+    // Before any client asks: nothing says that no purge was told meanwhile.
+    let mut server = world.server("c1").accept();
+    let asked = server.asked();
+    assert_eq!((asked.get("item"), asked.get("have")), ("0000000000000007", &TAG[5..]));
+    server.answer(&asked, "SAME", &made(0), b"");
+    let mut client = program.client();
+    until_own(&mut client, &mut server, &body);
+}
+
+#[test]
+fn a_directory_that_another_holds_is_not_used_and_the_router_serves() {
+    let mut world = World::new();
+    on_disk(&mut world, "");
+    let first = world.start();
+    let mut other = World::new();
+    other.directives = world.directives.clone();
+    let mut second = other.start();
+    let mut client = second.client();
+    ask_first(&mut client);
+    other.server("c1").accept().serve(b"x");
+    assert_eq!(client.word(), "ACK");
+    second.terminate();
+    let (_, text) = second.ended();
+    let holder = format!("is held by process {}", first.child.id());
+    assert!(text.contains("store: the disk is not used") && text.contains(&holder), "{text}");
+}
--- a/crates/router/tests/program/stand_ins/mod.rs
+++ b/crates/router/tests/program/stand_ins/mod.rs
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Something has come that was not read yet.
+    pub fn ready(&mut self) -> bool {
+        let stream = self.reader.get_ref();
+        stream.set_nonblocking(true).unwrap();
+        let come = stream.peek(&mut [0]).is_ok();
+        stream.set_nonblocking(false).unwrap();
+        come || !self.reader.buffer().is_empty()
+    }
+
     pub fn say(&mut self, text: impl AsRef<[u8]>) {
         self.reader.get_mut().write_all(text.as_ref()).unwrap();
     }
@@ -150,6 +159,11 @@
         Line::new(accept(&self.listener))
     }
 
+    /// A connection, if one is there.
+    pub fn try_accept(&self) -> Option<Line> {
+        taken(&self.listener).map(Line::new)
+    }
+
     /// Fills the queue of connections that nobody takes: further ones do not come up.
     pub fn vanish(&self) -> Vec<TcpStream> {
         let reach = |_: &u32| TcpStream::connect_timeout(&self.dial, Duration::from_millis(200)).ok();
--- a/crates/store/src/decide/admission.rs
+++ b/crates/store/src/decide/admission.rs
@@ -32,6 +32,7 @@
     a_second: Option<f64>,
     a_day: Option<f64>,
     purses: [f64; 2],
+    started: Duration,
     at: Duration,
     least_fresh: Duration,
     admitted: u64,
@@ -42,7 +43,7 @@
     pub fn new(a_second: Option<u64>, a_day: Option<u64>, least_fresh: Duration, now: Duration) -> Admission {
         let [a_second, a_day] = [a_second, a_day].map(|bytes| bytes.map(|bytes| bytes as f64));
         let purses = [a_second.unwrap_or(0.0) * PURSE, a_day.unwrap_or(0.0)];
-        Admission { a_second, a_day, purses, at: now, least_fresh, admitted: 0, carried: 0 }
+        Admission { a_second, a_day, purses, started: now, at: now, least_fresh, admitted: 0, carried: 0 }
     }
 
     /// May a copy of this rank be written, that is fresh for so long from now (none: until it is purged)?
@@ -82,6 +83,11 @@
         allowed
     }
 
+    /// When it began.
+    pub fn started(&self) -> Duration {
+        self.started
+    }
+
     /// Bytes admitted, and carried over.
     pub fn written(&self) -> (u64, u64) {
         (self.admitted, self.carried)
--- a/crates/store/src/decide/index.rs
+++ b/crates/store/src/decide/index.rs
@@ -106,7 +106,7 @@
     }
 
     /// One more part may need a row to grow and the next bucket to be split.
-    fn is_full(&self) -> bool {
+    pub fn is_full(&self) -> bool {
         self.bytes() + (STEP * 2) as u64 * ENTRY + BUCKET + 8192 * 24 > self.most
     }
 
--- /dev/null
+++ b/crates/store/src/files/real.rs
@@ -0,0 +1,120 @@
+//! Files as the system gives them.
+
+use super::{File, Files};
+use std::fs::{self, OpenOptions, TryLockError};
+use std::io::{self, Read, Seek, SeekFrom, Write};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+const LOCK: &str = "lock";
+
+/// A directory that this process alone writes to, as long as it holds this.
+pub struct Directory {
+    path: PathBuf,
+    /// Held open: its lock goes with it, also when the process is killed.
+    _lock: fs::File,
+}
+
+impl Directory {
+    /// Makes the directory if it is not there, and takes it.
+    ///
+    /// # Errors
+    /// Another process holds it: the message says which.
+    pub fn take(path: &Path) -> io::Result<Directory> {
+        fs::create_dir_all(path)?;
+        let options = || OpenOptions::new().read(true).write(true).create(true).truncate(false).clone();
+        let mut lock = options().open(path.join(LOCK))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::Error(e)) => return Err(e),
+            Err(TryLockError::WouldBlock) => {
+                let mut holder = String::new();
+                let _ = lock.read_to_string(&mut holder);
+                let holder = Some(holder.trim()).filter(|h| !h.is_empty()).unwrap_or("another process");
+                let what = format!("{} is held by {holder}", path.display());
+                return Err(io::Error::new(io::ErrorKind::ResourceBusy, what));
+            }
+        }
+        lock.set_len(0)?;
+        lock.seek(SeekFrom::Start(0))?;
+        writeln!(lock, "process {}", std::process::id())?;
+        Ok(Directory { path: path.to_path_buf(), _lock: lock })
+    }
+}
+
+impl Files for Directory {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let names =
+            fs::read_dir(&self.path)?.map(|entry| Ok(entry?.file_name().to_string_lossy().into_owned()));
+        names.filter(|name| name.as_ref().map_or(true, |name| name != LOCK)).collect()
+    }
+
+    fn create(&self, name: &str) -> io::Result<Arc<dyn File>> {
+        let options = OpenOptions::new().read(true).write(true).create_new(true).clone();
+        Ok(Arc::new(options.open(self.path.join(name))?))
+    }
+
+    fn open(&self, name: &str) -> io::Result<Arc<dyn File>> {
+        Ok(Arc::new(OpenOptions::new().read(true).write(true).open(self.path.join(name))?))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
+        fs::File::open(&self.path)?.sync_all()
+    }
+}
+
+impl File for fs::File {
+    fn length(&self) -> io::Result<u64> {
+        Ok(self.metadata()?.len())
+    }
+
+    fn read_at(&self, buffer: &mut [u8], at: u64) -> io::Result<usize> {
+        let mut read = 0;
+        while read < buffer.len() {
+            match FileExt::read_at(self, &mut buffer[read..], at + read as u64) {
+                Ok(0) => break,
+                Ok(n) => read += n,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(read)
+    }
+
+    fn write_at(&self, bytes: &[u8], at: u64) -> io::Result<()> {
+        self.write_all_at(bytes, at)
+    }
+
+    fn truncate(&self, length: u64) -> io::Result<()> {
+        self.set_len(length)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_second_is_told_who_holds_it() {
+        let path = std::env::temp_dir().join(format!("chalkhall-lock-{}", std::process::id()));
+        let first = Directory::take(&path).unwrap();
+        let what = Directory::take(&path).err().unwrap().to_string();
+        assert!(what.contains(&format!("is held by process {}", std::process::id())), "{what}");
+        drop(first);
+        assert!(Directory::take(&path).is_ok_and(|again| again.list().unwrap().is_empty()));
+        fs::remove_dir_all(path).unwrap();
+    }
+}
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -19,7 +19,7 @@
 pub const RECORD_HEAD_MOST: usize = RECORD_HEAD_LEAST + 3 * 255 + 8;
 /// No body is longer.
 pub const BODY_MOST: usize = 64 << 20;
-const ENTRY: usize = 40;
+pub const ENTRY: usize = 40;
 pub const TRAILER: usize = 40;
 const SEGMENT_MAGIC: &[u8; 8] = b"CHSEGMNT";
 const RECORD_MAGIC: &[u8; 4] = b"CHRC";
--- /dev/null
+++ b/crates/store/src/hands.rs
@@ -0,0 +1,128 @@
+//! Carries out orders on files. May block; runs on threads of its own, or in a test's turn.
+
+use crate::catalogue::{Catalogue, Known, Line, Unusable};
+use crate::copy::Copy;
+use crate::decide::disk::Fault;
+use crate::files::{File, Files, read_exactly};
+use crate::format::{Entry, Place, Wrong, read_record, segment_head};
+use crate::recovery::{Failed, Recovered, listed, recover, seal};
+use bytes::Bytes;
+use lru::LruCache;
+use std::io;
+use std::num::NonZeroUsize;
+use std::sync::Arc;
+
+/// Files held open by one thread.
+const OPEN_MOST: NonZeroUsize = NonZeroUsize::new(16).unwrap();
+const PREFIX: &str = "segment-";
+
+fn name(segment: u32) -> String {
+    format!("{PREFIX}{segment:010}")
+}
+
+fn number(name: &str) -> Option<u32> {
+    name.strip_prefix(PREFIX).filter(|digits| digits.len() == 10)?.parse().ok()
+}
+
+fn fault(what: io::Error) -> Fault {
+    match what.kind() {
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Fault::Full,
+        // A file that has been taken away or cut short holds nothing that could be served.
+        io::ErrorKind::NotFound | io::ErrorKind::UnexpectedEof => Fault::Damaged,
+        _ => Fault::Io(what.to_string()),
+    }
+}
+
+/// Opens a directory: its catalogue, what that knows, and the numbers of its segments.
+pub fn open(files: &dyn Files, store: u64) -> Result<(Catalogue, Known, Vec<u32>), Unusable> {
+    let (catalogue, known) = Catalogue::open(files, store)?;
+    let names = files.list().map_err(|e| Unusable::Other(e.to_string()))?;
+    Ok((catalogue, known, names.iter().filter_map(|name| number(name)).collect()))
+}
+
+/// The files of one store, for one thread.
+pub struct Hands {
+    files: Arc<dyn Files>,
+    store: u64,
+    open: LruCache<u32, Arc<dyn File>>,
+}
+
+impl Hands {
+    pub fn new(files: Arc<dyn Files>, store: u64) -> Hands {
+        Hands { files, store, open: LruCache::new(OPEN_MOST) }
+    }
+
+    fn file(&mut self, segment: u32) -> io::Result<Arc<dyn File>> {
+        if let Some(file) = self.open.get(&segment) {
+            return Ok(file.clone());
+        }
+        let file = self.files.open(&name(segment))?;
+        self.open.put(segment, file.clone());
+        Ok(file)
+    }
+
+    /// A record, if it proves whole.
+    pub fn read(&mut self, segment: u32, at: u32, length: u32) -> Result<(Copy, u8), Fault> {
+        let file = self.file(segment).map_err(fault)?;
+        let bytes =
+            read_exactly(&*file, u64::from(at), length as usize).map_err(fault)?.ok_or(Fault::Damaged)?;
+        let place = Place { store: self.store, segment, at };
+        read_record(&Bytes::from(bytes), place).map_err(|_: Wrong| Fault::Damaged)
+    }
+
+    /// What a segment lists; one that has no good footer is walked through.
+    pub fn list(&mut self, segment: u32) -> Result<Vec<Entry>, Fault> {
+        let file = self.file(segment).map_err(fault)?;
+        let length = file.length().map_err(fault)?;
+        match listed(&*file, self.store, segment, length).map_err(fault)? {
+            Some(entries) => Ok(entries),
+            None => match recover(&*file, self.store, segment) {
+                Ok(found) => Ok(found.entries),
+                Err(Failed::Io(what)) => Err(fault(what)),
+                Err(Failed::Version(_)) => Err(Fault::Damaged),
+            },
+        }
+    }
+
+    /// What a segment of an earlier life holds. One that was not sealed is from now on.
+    pub fn recover(&mut self, segment: u32) -> Result<Recovered, Failed> {
+        let file = self.file(segment)?;
+        let found = recover(&*file, self.store, segment)?;
+        if !found.sealed {
+            // Where that fails the next start walks through it again.
+            let _ = seal(&*file, self.store, segment, &found);
+        }
+        self.open.pop(&segment);
+        Ok(found)
+    }
+
+    pub fn begin(&mut self, segment: u32, class: u32) -> Result<(), Fault> {
+        let file = self.files.create(&name(segment)).map_err(fault)?;
+        file.write_at(&segment_head(self.store, segment, class), 0).map_err(fault)?;
+        self.files.sync_names().map_err(fault)?;
+        self.open.put(segment, file);
+        Ok(())
+    }
+
+    pub fn append(&mut self, segment: u32, at: u32, record: &[u8]) -> Result<(), Fault> {
+        self.file(segment).and_then(|file| file.write_at(record, u64::from(at))).map_err(fault)
+    }
+
+    pub fn sync(&mut self, segment: u32) -> Result<(), Fault> {
+        self.file(segment).and_then(|file| file.sync()).map_err(fault)
+    }
+
+    pub fn seal(&mut self, segment: u32, at: u32, footer: &[u8]) -> Result<(), Fault> {
+        let file = self.file(segment).map_err(fault)?;
+        file.write_at(footer, u64::from(at)).and_then(|()| file.sync()).map_err(fault)
+    }
+
+    pub fn remove(&mut self, segment: u32) -> Result<(), Fault> {
+        self.open.pop(&segment);
+        self.files.remove(&name(segment)).and_then(|()| self.files.sync_names()).map_err(fault)
+    }
+}
+
+pub fn mark(catalogue: &Catalogue, lines: &[Line]) -> Result<(), Fault> {
+    catalogue.write(lines).map_err(|what| Fault::Io(what.to_string()))
+}
--- /dev/null
+++ b/crates/store/src/threads.rs
@@ -0,0 +1,180 @@
+//! The threads that touch the disk, each behind a bounded mailbox. Whoever orders never waits for them: a mailbox that
+//! is full takes nothing, and a disk that hangs holds up its own threads alone.
+
+use crate::catalogue::{Catalogue, Known, Line};
+use crate::copy::Copy;
+use crate::decide::disk::Fault;
+use crate::files::Files;
+use crate::format::Entry;
+use crate::hands::{self, Hands};
+use crate::recovery::{Failed, Recovered};
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread;
+use tokio::sync::mpsc::{Sender, channel};
+
+/// Orders that wait for one thread.
+const READS_MOST: usize = 16;
+const WRITES_MOST: usize = 256;
+const MARKS_MOST: usize = 4;
+const RECOVERS_MOST: usize = 8;
+/// What ended and has not been heard of: as many as can be out.
+const ENDS_MOST: usize = 2048;
+
+/// How an order ended.
+pub enum End {
+    Opened { known: Known, segments: Vec<u32> },
+    Refused(String),
+    Read { ticket: u64, result: Result<(Copy, u8), Fault> },
+    Listed { segment: u32, result: Result<Vec<Entry>, Fault> },
+    Recovered { segment: u32, result: Result<Recovered, Failed> },
+    Appended { ticket: u64, result: Result<(), Fault> },
+    Synced { segment: u32, up_to: u32, result: Result<(), Fault> },
+    Sealed { segment: u32, at: u32, result: Result<(), Fault> },
+    Removed { segment: u32, result: Result<(), Fault> },
+    Marked(Result<(), Fault>),
+}
+
+enum Job {
+    Read { ticket: u64, segment: u32, at: u32, length: u32 },
+    List(u32),
+    Recover(u32),
+    Begin { segment: u32, class: u32 },
+    Append { ticket: u64, segment: u32, at: u32, record: Vec<u8> },
+    Sync { segment: u32, up_to: u32 },
+    Seal { segment: u32, at: u32, footer: Vec<u8> },
+    Remove(u32),
+}
+
+/// The threads of one store. Dropped, they end when what they have is done.
+pub struct Threads {
+    readers: Vec<SyncSender<Job>>,
+    writer: SyncSender<Job>,
+    recoverer: SyncSender<Job>,
+    marker: SyncSender<Vec<Line>>,
+    next: usize,
+}
+
+/// Opens a directory on a thread of its own and starts the others once it is open. `take` gives the files, which may
+/// itself take a while. Every end comes through the receiver, the opening's first.
+pub fn start(
+    take: impl FnOnce() -> Result<Arc<dyn Files>, String> + Send + 'static,
+    store: u64,
+    readers: usize,
+) -> std::io::Result<(Threads, tokio::sync::mpsc::Receiver<End>)> {
+    let (ends, receiver) = channel(ENDS_MOST);
+    // The threads wait for the files, each behind its mailbox, so that all orders can be given from the start.
+    let (readers, reads): (Vec<_>, Vec<_>) = (0..readers.max(1)).map(|_| sync_channel(READS_MOST)).unzip();
+    let (writer, writes) = sync_channel(WRITES_MOST);
+    let (recoverer, recovers) = sync_channel(RECOVERS_MOST);
+    let (marker, marks) = sync_channel(MARKS_MOST);
+    let spawn = |name: &str, run: Box<dyn FnOnce() + Send>| {
+        thread::Builder::new().name(format!("store-{name}")).spawn(run).map(|_| ())
+    };
+    spawn(
+        "open",
+        Box::new(move || {
+            let opened = take().and_then(|files| {
+                let found = hands::open(&*files, store).map_err(|what| what.to_string())?;
+                Ok((files, found))
+            });
+            let (files, (catalogue, known, segments)) = match opened {
+                Ok(opened) => opened,
+                Err(why) => return drop(ends.blocking_send(End::Refused(why))),
+            };
+            let store = known.store;
+            let _ = ends.blocking_send(End::Opened { known, segments });
+            let jobs = reads.into_iter().chain([writes, recovers]);
+            for (n, jobs) in jobs.enumerate() {
+                let (hands, ends) = (Hands::new(files.clone(), store), ends.clone());
+                let run = move || work(jobs, hands, ends);
+                let started = thread::Builder::new().name(format!("store-{n}")).spawn(run);
+                if let Err(what) = started {
+                    log::error!("a thread of the store could not be started: {what}");
+                }
+            }
+            write_down(marks, catalogue, ends);
+        }),
+    )?;
+    Ok((Threads { readers, writer, recoverer, marker, next: 0 }, receiver))
+}
+
+fn work(jobs: Receiver<Job>, mut hands: Hands, ends: Sender<End>) {
+    while let Ok(job) = jobs.recv() {
+        let end = match job {
+            Job::Read { ticket, segment, at, length } => {
+                End::Read { ticket, result: hands.read(segment, at, length) }
+            }
+            Job::List(segment) => End::Listed { segment, result: hands.list(segment) },
+            Job::Recover(segment) => End::Recovered { segment, result: hands.recover(segment) },
+            Job::Begin { segment, class } => {
+                // Shows in what is written to it.
+                if let Err(what) = hands.begin(segment, class) {
+                    log::debug!("segment {segment}: {what:?}");
+                }
+                continue;
+            }
+            Job::Append { ticket, segment, at, record } => {
+                End::Appended { ticket, result: hands.append(segment, at, &record) }
+            }
+            Job::Sync { segment, up_to } => End::Synced { segment, up_to, result: hands.sync(segment) },
+            Job::Seal { segment, at, footer } => {
+                End::Sealed { segment, at, result: hands.seal(segment, at, &footer) }
+            }
+            Job::Remove(segment) => End::Removed { segment, result: hands.remove(segment) },
+        };
+        if ends.blocking_send(end).is_err() {
+            return;
+        }
+    }
+}
+
+fn write_down(marks: Receiver<Vec<Line>>, catalogue: Catalogue, ends: Sender<End>) {
+    while let Ok(lines) = marks.recv() {
+        if ends.blocking_send(End::Marked(hands::mark(&catalogue, &lines))).is_err() {
+            return;
+        }
+    }
+}
+
+impl Threads {
+    /// To the next reader that takes it: one that hangs does not hold up the others.
+    pub fn read(&mut self, ticket: u64, segment: u32, at: u32, length: u32) -> bool {
+        let count = self.readers.len();
+        self.next = (self.next + 1) % count;
+        let job = || Job::Read { ticket, segment, at, length };
+        (0..count).any(|n| self.readers[(self.next + n) % count].try_send(job()).is_ok())
+    }
+
+    pub fn list(&mut self, segment: u32) -> bool {
+        self.recoverer.try_send(Job::List(segment)).is_ok()
+    }
+
+    pub fn recover(&mut self, segment: u32) -> bool {
+        self.recoverer.try_send(Job::Recover(segment)).is_ok()
+    }
+
+    pub fn begin(&mut self, segment: u32, class: u32) -> bool {
+        self.writer.try_send(Job::Begin { segment, class }).is_ok()
+    }
+
+    pub fn append(&mut self, ticket: u64, segment: u32, at: u32, record: Vec<u8>) -> bool {
+        self.writer.try_send(Job::Append { ticket, segment, at, record }).is_ok()
+    }
+
+    pub fn sync(&mut self, segment: u32, up_to: u32) -> bool {
+        self.writer.try_send(Job::Sync { segment, up_to }).is_ok()
+    }
+
+    pub fn seal(&mut self, segment: u32, at: u32, footer: Vec<u8>) -> bool {
+        self.writer.try_send(Job::Seal { segment, at, footer }).is_ok()
+    }
+
+    pub fn remove(&mut self, segment: u32) -> bool {
+        self.writer.try_send(Job::Remove(segment)).is_ok()
+    }
+
+    pub fn mark(&mut self, lines: Vec<Line>) -> bool {
+        self.marker.try_send(lines).is_ok()
+    }
+}
