--- a/crates/cli/src/bin/proof-store/counted.rs
+++ b/crates/cli/src/bin/proof-store/counted.rs
@@ -1,7 +1,11 @@
 //! What memory is taken, counted at the allocator.
 
+use bytes::Bytes;
+use chalkhall_store::copy::Copy;
 use chalkhall_store::decide::index::{Index, Spot};
+use chalkhall_store::decide::memory::Memory;
 use std::alloc::{GlobalAlloc, Layout, System};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicI64, Ordering};
 
 pub struct Counted;
@@ -26,6 +30,20 @@
     }
 }
 
+/// Bytes taken by a memory tier full of copies of mixed sizes, over what it says that it holds.
+pub fn memory_ratio() -> f64 {
+    let mut chance = fastrand::Rng::with_seed(12);
+    let mut memory = Memory::new(64 << 20);
+    let before = TAKEN.load(Ordering::Relaxed);
+    for key in 0..60_000u64 {
+        let text = || Bytes::copy_from_slice(b"4be0c1927d55a6f3");
+        let body = Bytes::copy_from_slice(&vec![7; chance.usize(..4000)]);
+        let copy = Copy { object: text(), tag: text(), body, ..Copy::default() };
+        memory.keep(key, Rc::new(copy), 1 + chance.u8(..3), &mut |_, _| {});
+    }
+    (TAKEN.load(Ordering::Relaxed) - before) as f64 / memory.bytes() as f64
+}
+
 /// The most bytes a part that an index of up to so many parts takes, from a tenth of them on.
 pub fn index_bytes_a_part(parts: u64) -> f64 {
     let mut chance = fastrand::Rng::with_seed(11);
--- a/crates/cli/src/bin/proof-store/main.rs
+++ b/crates/cli/src/bin/proof-store/main.rs
@@ -151,6 +151,8 @@
     if wants("figures") {
         let bytes = counted::index_bytes_a_part(1_000_000);
         line.add("index_bytes_part", format!("{bytes:.1}"), bytes <= 48.0);
+        let counted = counted::memory_ratio();
+        line.add("memory_counted_ratio", format!("{counted:.3}"), (0.7..=1.0).contains(&counted));
         let read = timed::read_ratio(&folder.join("reads"), seed)?;
         line.add("read_ratio", format!("{read:.2}"), read >= 0.8);
         let recover = timed::recover_ratio(&folder.join("recovery"))?;
--- a/crates/cli/src/rig.rs
+++ b/crates/cli/src/rig.rs
@@ -49,6 +49,12 @@
         Ok(Rig { store: Store::new(memory, Some(disk)), shelf, ends, zero: Instant::now() })
     }
 
+    /// Memory alone.
+    pub fn alone(memory: u64) -> Rig {
+        let (_, ends) = tokio::sync::mpsc::channel(1);
+        Rig { store: Store::new(memory, None), shelf: Shelf::default(), ends, zero: Instant::now() }
+    }
+
     pub fn now(&self) -> Duration {
         ZERO + self.zero.elapsed()
     }
--- a/crates/store/src/threads.rs
+++ b/crates/store/src/threads.rs
@@ -4,7 +4,7 @@
 use crate::catalogue::{Catalogue, Known, Line};
 use crate::copy::Copy;
 use crate::decide::Store;
-use crate::decide::disk::{Fault, Fetched, Outlet};
+use crate::decide::disk::{Fault, Fetched, Outlet, Phase};
 use crate::files::Files;
 use crate::format::Entry;
 use crate::hands::{self, Hands};
@@ -221,6 +221,16 @@
                     log::warn!("store: segment {segment} is of format version {found}: it is left alone");
                 }
                 store.recovered(now, segment, result, self);
+                if let Some(disk) = store.disk().filter(|disk| *disk.phase() == Phase::Ready) {
+                    let (known, unknown) = (disk.index().len(), disk.counts().unknown);
+                    log::info!(parts = known, damaged = disk.counts().damaged; "store: ready");
+                    if unknown > 0 {
+                        log::warn!(
+                            parts = known, unknown = unknown;
+                            "store: index-memory is too small: some parts on disk are not known"
+                        );
+                    }
+                }
             }
             End::Appended { ticket, result } => store.appended(now, ticket, result, self),
             End::Synced { segment, up_to, result } => store.synced(now, segment, up_to, result, self),
