--- a/Makefile
+++ b/Makefile
@@ -19,4 +19,4 @@
 SEED ?= 1
 proof-store:
 	cargo build --release --locked -p chalkhall-cli
-	target/release/proof-store --seed $(SEED)
+	cargo run --release --locked -p chalkhall-cli --bin proof-store -- --seed $(SEED)
--- /dev/null
+++ b/crates/cells/src/limits.rs
@@ -0,0 +1,250 @@
+//! What a tenant may ask for: a rate with bursts, and a budget of retries that grows with what it has honoured. State is
+//! bounded however many names come: tenants that were honoured keep theirs, the rest share what a sketch remembers.
+//!
+//! A flood of new names cannot evict an honest tenant's state: a name gets a row of its own only once it has been
+//! honoured so often, and rows leave by when they were last honoured. Before that it is counted in a count-min sketch
+//! (Cormode and Muthukrishnan, "An improved data stream summary", 2005), where names that meet are taken for one: a new
+//! tenant among a flood of new ones is declined with them, an old one is not.
+
+use lru::LruCache;
+use std::num::NonZeroUsize;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Rows of tenants known by name, and how often one must have been honoured to get one.
+const ROWS: NonZeroUsize = NonZeroUsize::new(4096).unwrap();
+const HONOURED_FOR_ROW: f64 = 8.0;
+/// The sketch: rows and columns.
+const DEEP: usize = 4;
+const WIDE: usize = 2048;
+/// What the sketch remembers halves in this time.
+const FADES: Duration = Duration::from_secs(10);
+
+/// One, as far as sums of parts of it go.
+const WHOLE: f64 = 1.0 - 1e-9;
+
+/// What a tenant may do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowed {
+    /// Accesses a second, and how many at once after a pause.
+    pub rate: f64,
+    pub burst: f64,
+    /// Retries for each access honoured, and how many may be saved up.
+    pub retries: f64,
+    pub retries_most: f64,
+}
+
+/// What becomes of an access at the door.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Verdict {
+    Taken,
+    /// Declined; a further one is taken after so long at the earliest.
+    Late(Duration),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Row {
+    at: Duration,
+    tokens: f64,
+    retries: f64,
+}
+
+impl Row {
+    fn fill(&mut self, now: Duration, allowed: &Allowed) {
+        let since = now.saturating_sub(self.at).as_secs_f64();
+        self.at = self.at.max(now);
+        self.tokens = (self.tokens + allowed.rate * since).min(allowed.burst);
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Column {
+    at: Duration,
+    /// Accesses lately, and how many of them were honoured.
+    asked: f64,
+    honoured: f64,
+}
+
+impl Column {
+    fn fade(&mut self, now: Duration) {
+        let fades = (-now.saturating_sub(self.at).div_duration_f64(FADES)).exp2();
+        (self.at, self.asked, self.honoured) = (self.at.max(now), self.asked * fades, self.honoured * fades);
+    }
+}
+
+/// The limits of all tenants of a cell.
+pub struct Tenants {
+    allowed: Allowed,
+    rows: LruCache<u64, Row>,
+    sketch: Vec<Column>,
+    seed: u64,
+}
+
+impl Tenants {
+    pub fn new(allowed: Allowed, seed: u64) -> Tenants {
+        Tenants { allowed, rows: LruCache::new(ROWS), sketch: vec![Column::default(); DEEP * WIDE], seed }
+    }
+
+    fn key(&self, tenant: &[u8]) -> u64 {
+        // A seed of its own: nobody outside can make names meet on purpose.
+        xxh3_64_with_seed(tenant, self.seed)
+    }
+
+    fn columns(&self, key: u64) -> [usize; DEEP] {
+        std::array::from_fn(|n| {
+            n * WIDE + (xxh3_64_with_seed(&key.to_le_bytes(), n as u64) % WIDE as u64) as usize
+        })
+    }
+
+    /// An access of a tenant comes; `again`: it is known to be a retry.
+    pub fn access(&mut self, now: Duration, tenant: &[u8], again: bool) -> Verdict {
+        let (key, allowed) = (self.key(tenant), self.allowed);
+        if let Some(row) = self.rows.peek_mut(&key) {
+            row.fill(now, &allowed);
+            if again && row.retries < WHOLE {
+                return Verdict::Late(Duration::from_secs_f64(1.0 / allowed.rate.max(1e-3)));
+            }
+            if row.tokens < WHOLE {
+                return Verdict::Late(Duration::from_secs_f64((1.0 - row.tokens) / allowed.rate.max(1e-3)));
+            }
+            row.tokens -= 1.0;
+            row.retries -= f64::from(again);
+            return Verdict::Taken;
+        }
+        // Known to nobody: what the least filled of its columns has asked for lately is at least its own.
+        let columns = self.columns(key);
+        for at in columns {
+            self.sketch[at].fade(now);
+        }
+        let asked = columns.iter().map(|at| self.sketch[*at].asked).fold(f64::INFINITY, f64::min);
+        // What fades by half in a span adds up to the rate times the span over ln 2.
+        let steady = allowed.rate * FADES.as_secs_f64() / std::f64::consts::LN_2;
+        if asked + 1.0 > steady + allowed.burst {
+            let over = (asked + 1.0) / (steady + allowed.burst);
+            return Verdict::Late(FADES.mul_f64(over.log2().clamp(0.01, 1.0)));
+        }
+        columns.iter().for_each(|at| self.sketch[*at].asked += 1.0);
+        Verdict::Taken
+    }
+
+    /// An access of a tenant was honoured.
+    pub fn honoured(&mut self, now: Duration, tenant: &[u8]) {
+        let (key, allowed) = (self.key(tenant), self.allowed);
+        if let Some(row) = self.rows.get_mut(&key) {
+            row.retries = (row.retries + allowed.retries).min(allowed.retries_most);
+            return;
+        }
+        let columns = self.columns(key);
+        for at in columns {
+            self.sketch[at].fade(now);
+            self.sketch[at].honoured += 1.0;
+        }
+        let honoured = columns.iter().map(|at| self.sketch[*at].honoured).fold(f64::INFINITY, f64::min);
+        if honoured >= HONOURED_FOR_ROW && self.may_evict(now) {
+            let (tokens, retries) = (allowed.burst / 2.0, 0.0);
+            self.rows.put(key, Row { at: now, tokens, retries });
+            columns.iter().for_each(|at| self.sketch[*at].honoured = 0.0);
+        }
+    }
+
+    /// A row that was of use lately is not given up for a new name.
+    fn may_evict(&self, now: Duration) -> bool {
+        let oldest = self.rows.peek_lru().filter(|_| self.rows.len() == ROWS.get());
+        oldest.is_none_or(|(_, row)| now >= row.at + FADES)
+    }
+
+    /// Tenants known by name.
+    pub fn known(&self) -> usize {
+        self.rows.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const ALLOWED: Allowed = Allowed { rate: 10.0, burst: 20.0, retries: 0.1, retries_most: 5.0 };
+
+    fn s(seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds)
+    }
+
+    /// A tenant that asks every 200 ms and is honoured whenever it is taken.
+    fn steady(tenants: &mut Tenants, name: &str, from: f64, count: usize) -> usize {
+        let taken = (0..count).filter(|n| {
+            let now = s(from + *n as f64 * 0.2);
+            let taken = tenants.access(now, name.as_bytes(), false) == Verdict::Taken;
+            if taken {
+                tenants.honoured(now, name.as_bytes());
+            }
+            taken
+        });
+        taken.count()
+    }
+
+    #[test]
+    fn who_floods_is_held_to_its_rate_and_told_when_to_come_back() {
+        let mut tenants = Tenants::new(ALLOWED, 7);
+        assert_eq!(steady(&mut tenants, "loud", 0.0, 50), 50);
+        assert_eq!(tenants.known(), 1);
+        // It comes back when it is told to, and is taken each time.
+        let mut now = s(10.0);
+        for _ in 0..200 {
+            now += s(0.005);
+            if let Verdict::Late(wait) = tenants.access(now, b"loud", false) {
+                assert!(wait <= s(0.1), "{wait:?}");
+                now += wait;
+                assert_eq!(tenants.access(now, b"loud", false), Verdict::Taken);
+            }
+        }
+        let mut tenants = Tenants::new(ALLOWED, 7);
+        steady(&mut tenants, "loud", 0.0, 50);
+        let taken = (0..2000)
+            .filter(|n| tenants.access(s(10.0 + f64::from(*n) * 0.005), b"loud", false) == Verdict::Taken);
+        let taken = taken.count();
+        assert!((100..=121).contains(&taken), "{taken} in ten seconds at 10 a second and a burst of 20");
+    }
+
+    #[test]
+    fn a_flood_of_new_names_evicts_no_honest_tenant() {
+        let mut tenants = Tenants::new(ALLOWED, 7);
+        for n in 0..100 {
+            steady(&mut tenants, &format!("honest-{n}"), 0.0, 20);
+        }
+        assert_eq!(tenants.known(), 100);
+        for n in 0..200_000u32 {
+            let (now, name) = (s(4.0 + f64::from(n) * 0.00005), format!("new-{n}"));
+            if tenants.access(now, name.as_bytes(), false) == Verdict::Taken && n % 3 == 0 {
+                tenants.honoured(now, name.as_bytes());
+            }
+        }
+        assert!(tenants.known() <= ROWS.get());
+        for n in 0..100 {
+            assert_eq!(steady(&mut tenants, &format!("honest-{n}"), 14.0, 20), 20, "tenant {n}");
+        }
+    }
+
+    #[test]
+    fn retries_are_paid_for_by_what_was_honoured() {
+        let mut tenants = Tenants::new(Allowed { rate: 1000.0, burst: 1000.0, ..ALLOWED }, 7);
+        steady(&mut tenants, "a", 0.0, 45);
+        let retries = (0..10).filter(|_| tenants.access(s(20.0), b"a", true) == Verdict::Taken).count();
+        assert_eq!(retries, 3, "one for ten honoured");
+    }
+
+    proptest! {
+        /// Whatever is asked when, over any span a known tenant gets no more than its burst and its rate.
+        #[test]
+        fn no_more_than_rate_and_burst(steps in prop::collection::vec(0u64..400, 1..300)) {
+            let mut tenants = Tenants::new(ALLOWED, 9);
+            steady(&mut tenants, "t", 0.0, 20);
+            let (mut now, mut taken) = (s(4.0), 0.0);
+            for step in &steps {
+                now += Duration::from_millis(*step);
+                taken += f64::from(u8::from(tenants.access(now, b"t", false) == Verdict::Taken));
+            }
+            prop_assert!(taken <= ALLOWED.burst + ALLOWED.rate * (now - s(4.0)).as_secs_f64() + 1.0);
+        }
+    }
+}
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -53,6 +53,9 @@
     /// Own copies on disk: what is there, whether it is whole, and what to do about it
     #[command(subcommand)]
     Store(Store),
+    /// Cells: what a map makes of a list of servers, before a router takes it over
+    #[command(subcommand)]
+    Cells(Cells),
     /// Prints what completes commands in a shell
     #[command(after_help = "Example: chalkhall completions bash > /etc/bash_completion.d/chalkhall")]
     Completions { shell: Shell },
@@ -61,6 +64,38 @@
     Man { folder: PathBuf },
 }
 
+#[derive(Subcommand)]
+pub enum Cells {
+    /// Tells a live router's cells, and where its moves stand
+    Stat {
+        /// The control socket of a live router
+        #[arg(long)]
+        socket: PathBuf,
+        /// JSON in place of text
+        #[arg(long)]
+        json: bool,
+    },
+    /// Draws the map of an operator's file and tells every fault of it
+    #[command(
+        after_help = "Exit codes: 0 no fault; 1 faults: of the file, or cells with too few servers, or servers in none.
+
+Example: chalkhall cells check deploy/chalkhall.conf --config docs/example.json"
+    )]
+    Check {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// A cache server to draw over; may be given more than once
+        #[arg(long = "server", value_name = "NAME")]
+        servers: Vec<String>,
+        /// A router's configuration: its caches and the names of its categories
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+        /// JSON in place of text
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 /// A directory of own copies that no router holds
 #[derive(Args)]
 pub struct Directory {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,7 @@
 //! `chalkhall`'s commands: thin over the packages that do the work.
 
 pub mod arguments;
+pub mod cells;
 pub mod check;
 pub mod rig;
 pub mod store;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,7 @@
 //! `chalkhall`: every command of an operator.
 
-use chalkhall_cli::arguments::{Chalkhall, Command, Store};
-use chalkhall_cli::{Failure, check, store, torture};
+use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Store};
+use chalkhall_cli::{Failure, cells, check, store, torture};
 use clap::{CommandFactory, Parser};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -15,6 +15,10 @@
             Ok(())
         }
         Command::Store(command) => of_store(command),
+        Command::Cells(Cells::Stat { socket, json }) => store::ask_live(&socket, "cells stat", json),
+        Command::Cells(Cells::Check { file, servers, config, json }) => {
+            cells::check(&file, &servers, config.as_deref(), json)
+        }
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Chalkhall::command(), "chalkhall", &mut std::io::stdout());
             Ok(())
@@ -33,7 +37,7 @@
 fn of_store(command: Store) -> Result<(), Failure> {
     match command {
         Store::Stat { path, socket, json } => match (path, socket) {
-            (_, Some(socket)) => store::stat_live(&socket, json),
+            (_, Some(socket)) => store::ask_live(&socket, "store stat", json),
             (Some(path), None) => store::stat(&path, json),
             (None, None) => {
                 Err(Failure { code: 2, what: "neither a directory nor a socket was named".into() })
@@ -53,14 +57,14 @@
     }
 }
 
-fn serve(directives: Option<PathBuf>) -> Result<(), Failure> {
-    let (told, faults) = directives.map(|path| chalkhall_directives::read(&path)).unwrap_or_default();
+fn serve(file: Option<PathBuf>) -> Result<(), Failure> {
+    let (told, faults) = file.as_deref().map(chalkhall_directives::read).unwrap_or_default();
     if !faults.is_empty() {
         let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
         return Err(Failure::new(all.join("\nchalkhall: ")));
     }
     chalkhall_router::logs::begin(&told.log);
-    chalkhall_router::serve(told).map_err(Failure::new)
+    chalkhall_router::serve(told, file).map_err(Failure::new)
 }
 
 fn man(folder: &Path) -> Result<(), Failure> {
--- a/crates/cli/src/store.rs
+++ b/crates/cli/src/store.rs
@@ -145,12 +145,12 @@
     Ok(())
 }
 
-/// Asks a live router.
-pub fn stat_live(socket: &Path, as_json: bool) -> Result<(), Failure> {
+/// Asks a live router, and prints what it says.
+pub fn ask_live(socket: &Path, words: &str, as_json: bool) -> Result<(), Failure> {
     let fail = |what: &dyn std::fmt::Display| Failure::new(format!("{}: {what}", socket.display()));
     let mut stream = UnixStream::connect(socket).map_err(|e| fail(&e))?;
     stream.set_read_timeout(Some(Duration::from_secs(5))).map_err(|e| fail(&e))?;
-    stream.write_all(b"store stat\n").map_err(|e| fail(&e))?;
+    stream.write_all(format!("{words}\n").as_bytes()).map_err(|e| fail(&e))?;
     let mut line = String::new();
     BufReader::new(stream).read_line(&mut line).map_err(|e| fail(&e))?;
     let told: Value = serde_json::from_str(&line).map_err(|e| fail(&e))?;
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -193,3 +193,31 @@
     }
     assert!(found["answers"].as_u64() > Some(0) && found["durable"].as_u64() > Some(0), "{found}");
 }
+
+#[test]
+fn a_map_of_cells_is_drawn_and_its_faults_are_told() {
+    let folder = Folder::new("cells");
+    let file = folder.0.join("cells.conf");
+    let path = file.to_str().unwrap();
+    let told =
+        "cells {\n epoch 3\n cell a list s1 s2\n cell b shuffle 2\n bind group 0-9 a\n otherwise b\n}\n";
+    std::fs::write(&file, told).unwrap();
+    let servers = ["--server", "s1", "--server", "s2", "--server", "s3", "--server", "s4"];
+    let drawn = json(&[&["cells", "check", path, "--json"], &servers[..]].concat());
+    assert_eq!(
+        (drawn["epoch"].as_u64(), &drawn["cells"][0]["servers"]),
+        (Some(3), &serde_json::json!(["s1", "s2"]))
+    );
+    assert_eq!(drawn["cells"][1]["servers"], serde_json::json!(["s3", "s4"]));
+    let few = chalkhall(&["cells", "check", path, "--server", "s1"]);
+    assert_eq!(few.status.code(), Some(1));
+    assert!(text(&few).contains("cell a has 1 of 2 servers") && text(&few).contains("cell b has 0 of 2"));
+    // Over a router's configuration: its own caches, and only categories that it has.
+    let config = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/example.json");
+    let config = config.to_str().unwrap();
+    std::fs::write(&file, "cells {\n cell a list c1\n bind category page a\n}\n").unwrap();
+    assert_eq!(chalkhall(&["cells", "check", path, "--config", config]).status.code(), Some(0));
+    std::fs::write(&file, "cells {\n cell a list c1\n bind category cakes a\n}\n").unwrap();
+    let unknown = chalkhall(&["cells", "check", path, "--config", config]);
+    assert!(text(&unknown).contains("cakes is not a category"), "{}", text(&unknown));
+}
--- a/crates/directives/src/lib.rs
+++ b/crates/directives/src/lib.rs
@@ -16,7 +16,7 @@
 mod words;
 
 pub use values::Amount;
-pub use words::{Log, LogFormat, Store, Table, Told, WORDS};
+pub use words::{Bound, CellMembers, Cells, Log, LogFormat, Store, Table, Told, WORDS};
 
 use lines::{Line, Word};
 use std::fmt;
@@ -164,7 +164,9 @@
             Some(file) => format!("{}:{}", file.display(), first.line),
             None => first.line.to_string(),
         };
-        if let Some((_, _, before)) = self.given.iter().find(|(s, n, _)| (*s, *n) == (within, entry.name)) {
+        if let Some((_, _, before)) =
+            self.given.iter().find(|(s, n, _)| !entry.many && (*s, *n) == (within, entry.name))
+        {
             let what = format!("{} was given before, at {before}", entry.name);
             return self.fault(file, first, what);
         }
--- a/crates/directives/src/words.rs
+++ b/crates/directives/src/words.rs
@@ -12,6 +12,38 @@
     /// Where the control socket is; none: there is none.
     pub control: Option<PathBuf>,
     pub store: Store,
+    pub cells: Cells,
+}
+
+/// Which cache servers a cell has.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CellMembers {
+    List(Vec<String>),
+    Share(f64),
+    Shuffle(usize),
+}
+
+/// What belongs to a cell.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Bound {
+    Prefix(String),
+    Groups(RangeInclusive<u64>),
+    Customer(usize),
+    Category(String),
+}
+
+/// Parts of the fleet, and what is confined to them. Without a cell, nothing is.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Cells {
+    pub epoch: u64,
+    pub cells: Vec<(String, CellMembers)>,
+    pub bindings: Vec<(Bound, String)>,
+    /// What is on its way from the cell that it is bound to, and where to.
+    pub moves: Vec<(Bound, String)>,
+    pub otherwise: Option<String>,
+    pub overlap: Option<usize>,
+    /// Accesses a second of one tenant, and how many at once.
+    pub tenant: Option<(f64, f64)>,
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -93,6 +125,8 @@
     pub name: &'static str,
     pub takes: &'static str,
     pub count: RangeInclusive<usize>,
+    /// It may be given more than once.
+    pub many: bool,
     pub says: &'static str,
     pub set: Set,
 }
@@ -113,7 +147,7 @@
     }
 
     pub fn sections(&self) -> impl Iterator<Item = &'static &'static str> {
-        ["store"].iter()
+        ["store", "cells"].iter()
     }
 }
 
@@ -131,6 +165,21 @@
     Err((0, format!("{word} is not from {} to {}", say(least), say(most))))
 }
 
+/// `prefix ID`, `group FROM-TO`, `customer NUMBER` or `category NAME`.
+fn bound(words: &[&str]) -> Result<Bound, (usize, String)> {
+    match words[0] {
+        "prefix" => Ok(Bound::Prefix(words[1].to_owned())),
+        "group" => {
+            let (from, to) = words[1].split_once('-').unwrap_or((words[1], words[1]));
+            let [from, to] = [from, to].map(|word| at(1, values::whole(word, 0, u64::MAX)));
+            Ok(Bound::Groups(from?..=to?))
+        }
+        "customer" => Ok(Bound::Customer(at(1, values::whole(words[1], 0, 1 << 32))? as usize)),
+        "category" => Ok(Bound::Category(words[1].to_owned())),
+        other => Err((0, format!("{other:?} is not prefix, group, customer or category"))),
+    }
+}
+
 const fn one(
     section: &'static str,
     name: &'static str,
@@ -138,7 +187,7 @@
     says: &'static str,
     set: Set,
 ) -> Entry {
-    Entry { section, name, takes, count: 1..=1, says, set }
+    Entry { section, name, takes, count: 1..=1, many: false, says, set }
 }
 
 /// Every directive there is.
@@ -168,6 +217,7 @@
         name: "disk",
         takes: "DIRECTORY SIZE",
         count: 2..=2,
+        many: false,
         says: "own copies on disk: where, and how many bytes",
         set: |told, words| {
             let size = bytes_within(words[1], 16 << 20, 1 << 50).map_err(|(_, what)| (1, what))?;
@@ -243,4 +293,86 @@
         told.store.yield_over = at(0, values::span(words[0]))?;
         Ok(())
     }),
+    one(
+        "cells",
+        "epoch",
+        "NUMBER",
+        "of this map: a router never goes back to an older one",
+        |told, words| {
+            told.cells.epoch = at(0, values::whole(words[0], 0, u64::MAX))?;
+            Ok(())
+        },
+    ),
+    Entry {
+        section: "cells",
+        name: "cell",
+        takes: "NAME list SERVER.. | share SHARE | shuffle COUNT",
+        count: 3..=1024,
+        many: true,
+        says: "a part of the fleet, and which cache servers it has",
+        set: |told, words| {
+            let members = match (words[1], &words[2..]) {
+                ("list", servers) => CellMembers::List(servers.iter().map(|s| (*s).to_owned()).collect()),
+                ("share", [share]) => CellMembers::Share(at(2, values::share(share))?),
+                ("shuffle", [count]) => {
+                    CellMembers::Shuffle(at(2, values::whole(count, 1, 10_000))? as usize)
+                }
+                ("share" | "shuffle", _) => return Err((3, "one word too many".into())),
+                (other, _) => return Err((1, format!("{other:?} is not list, share or shuffle"))),
+            };
+            told.cells.cells.push((words[0].to_owned(), members));
+            Ok(())
+        },
+    },
+    Entry {
+        section: "cells",
+        name: "bind",
+        takes: "prefix ID | group FROM[-TO] | customer NUMBER | category NAME, then CELL",
+        count: 3..=3,
+        many: true,
+        says: "what belongs to a cell",
+        set: |told, words| {
+            told.cells.bindings.push((bound(words)?, words[2].to_owned()));
+            Ok(())
+        },
+    },
+    Entry {
+        section: "cells",
+        name: "move",
+        takes: "what is bound, as in bind, then the CELL it goes to",
+        count: 3..=3,
+        many: true,
+        says: "moves what is bound elsewhere to a cell, as fast as that warms up",
+        set: |told, words| {
+            told.cells.moves.push((bound(words)?, words[2].to_owned()));
+            Ok(())
+        },
+    },
+    one(
+        "cells",
+        "otherwise",
+        "CELL",
+        "where all else belongs; unless given, to all servers",
+        |told, words| {
+            told.cells.otherwise = Some(words[0].to_owned());
+            Ok(())
+        },
+    ),
+    one("cells", "overlap", "COUNT", "servers that two drawn cells may share", |told, words| {
+        told.cells.overlap = Some(at(0, values::whole(words[0], 0, 10_000))? as usize);
+        Ok(())
+    }),
+    Entry {
+        section: "cells",
+        name: "tenant-rate",
+        takes: "RATE BURST",
+        count: 2..=2,
+        many: false,
+        says: "accesses a second of one tenant, and how many at once",
+        set: |told, words| {
+            let rate = at(0, values::whole(words[0], 1, 1_000_000))? as f64;
+            told.cells.tenant = Some((rate, at(1, values::whole(words[1], 1, 1_000_000))? as f64));
+            Ok(())
+        },
+    },
 ]);
--- /dev/null
+++ b/crates/router/src/confined.rs
@@ -0,0 +1,263 @@
+//! Cells as the decider uses them: the map drawn over the list, an access's cell, a tenant's limit at the door.
+
+use chalkhall::interface::{Arrival, Id, Member, Outcome, Remark, Standing, Tier};
+use chalkhall_cells::limits::{Allowed, Tenants, Verdict};
+use chalkhall_cells::map::{Cell, Map, Members, Told, What};
+use chalkhall_cells::moves::{Move, State};
+use chalkhall_directives::{Bound, CellMembers, Cells as Wishes};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Retries for each access of a tenant that was honoured, and how many may be saved up.
+const RETRIES: f64 = 0.2;
+const RETRIES_MOST: f64 = 20.0;
+
+pub struct Confined {
+    map: Map,
+    moves: Vec<(What, Move)>,
+    /// What is in flight, or remembered of it, has ended after this long.
+    settle: Duration,
+    members: BTreeMap<Id, Member>,
+    tenants: Option<Tenants>,
+    /// Tenants are the settings' customers, or groups of objects where they name none.
+    by_customer: bool,
+    location: usize,
+}
+
+/// A map, and what is on its way within it: from where it is bound to another cell.
+#[derive(Debug)]
+pub struct Plan {
+    pub map: Map,
+    moves: Vec<(What, Cell, Cell)>,
+}
+
+impl Plan {
+    pub fn epoch(&self) -> u64 {
+        self.map.epoch()
+    }
+}
+
+/// Reads what is told of cells, by the settings' names of categories.
+///
+/// # Errors
+/// Every fault of it.
+pub fn plan(wishes: &Wishes, categories: &[String]) -> Result<Plan, String> {
+    let mut faults = Vec::new();
+    let mut what = |bound: &Bound| match bound {
+        Bound::Prefix(prefix) => What::Prefix(prefix.clone()),
+        Bound::Groups(range) => What::Groups(range.clone()),
+        Bound::Customer(n) => What::Customer(*n),
+        Bound::Category(name) => {
+            let found = categories.iter().position(|c| c == name);
+            if found.is_none() {
+                faults.push(format!("{name} is not a category"));
+            }
+            What::Category(found.unwrap_or(usize::MAX))
+        }
+    };
+    let bindings = wishes.bindings.iter().map(|(bound, cell)| (what(bound), cell.clone())).collect();
+    let moves: Vec<(What, &String)> = wishes.moves.iter().map(|(bound, cell)| (what(bound), cell)).collect();
+    let cells = wishes.cells.iter().map(|(name, members)| {
+        let members = match members {
+            CellMembers::List(names) => Members::List(names.clone()),
+            CellMembers::Share(share) => Members::Share(*share),
+            CellMembers::Shuffle(count) => Members::Shuffle(*count),
+        };
+        (name.clone(), members)
+    });
+    let (otherwise, overlap) = (wishes.otherwise.clone(), wishes.overlap);
+    // What moves to a cell belongs to it as well.
+    let arriving: Vec<String> = moves.iter().map(|(_, cell)| (*cell).clone()).collect();
+    let told = Told { epoch: wishes.epoch, cells: cells.collect(), bindings, arriving, otherwise, overlap };
+    let map = match Map::new(told) {
+        Ok(map) => map,
+        Err(more) => {
+            faults.extend(more);
+            return Err(faults.join("; "));
+        }
+    };
+    let mut found = Vec::new();
+    for (what, cell) in moves {
+        match (map.bound(&what), map.named(cell)) {
+            (Some(from), Some(to)) if from != to => found.push((what, from, to)),
+            (None, _) => faults.push(format!("{what:?} moves, and is not bound anywhere")),
+            _ => faults.push(format!("{what:?} moves to where it is")),
+        }
+    }
+    if faults.is_empty() { Ok(Plan { map, moves: found }) } else { Err(faults.join("; ")) }
+}
+
+impl Confined {
+    /// None: there are neither cells nor limits.
+    ///
+    /// # Errors
+    /// The map makes no sense, and why.
+    pub fn new(
+        wishes: &Wishes,
+        categories: &[String],
+        location: usize,
+        by_customer: bool,
+        settle: Duration,
+        seed: u64,
+    ) -> Result<Option<Confined>, String> {
+        if wishes.cells.is_empty() && wishes.tenant.is_none() {
+            return Ok(None);
+        }
+        let Plan { map, moves } = plan(wishes, categories).map_err(|what| format!("cells: {what}"))?;
+        let allowed = wishes.tenant.map(|(rate, burst)| Allowed {
+            rate,
+            burst,
+            retries: RETRIES,
+            retries_most: RETRIES_MOST,
+        });
+        let tenants = allowed.map(|allowed| Tenants::new(allowed, seed));
+        log::info!(cells = map.len(), epoch = map.epoch(), tenants_limited = tenants.is_some(); "cells");
+        let moves = moves.into_iter().map(|(what, from, to)| (what, Move::new(from, to, settle))).collect();
+        let members = BTreeMap::new();
+        Ok(Some(Confined { map, moves, settle, members, tenants, by_customer, location }))
+    }
+
+    /// Takes over another map; a move that both tell goes on from where it stands. None: it is older than the one in
+    /// force.
+    pub fn renew(&mut self, now: Duration, plan: Plan) -> Option<Vec<Member>> {
+        if plan.epoch() < self.map.epoch() {
+            return None;
+        }
+        let (before, settle) = (std::mem::take(&mut self.moves), self.settle);
+        let names =
+            |map: &Map, moved: &Move| (map.name(moved.from).to_owned(), map.name(moved.to).to_owned());
+        let mut before: Vec<(What, (String, String), Move)> =
+            before.into_iter().map(|(what, moved)| (what, names(&self.map, &moved), moved)).collect();
+        for (what, from, to) in plan.moves {
+            let same = |(w, ends, _): &(What, (String, String), Move)| {
+                *w == what && *ends == (plan.map.name(from).to_owned(), plan.map.name(to).to_owned())
+            };
+            let known = before.iter().position(same).map(|at| before.swap_remove(at).2);
+            let mut moved = known.unwrap_or_else(|| Move::new(from, to, settle));
+            (moved.from, moved.to) = (from, to);
+            self.moves.push((what, moved));
+        }
+        self.map = plan.map;
+        Some(self.draw(now))
+    }
+
+    pub fn epoch(&self) -> u64 {
+        self.map.epoch()
+    }
+
+    /// Changes of the list: returned with their cells, and with whoever else is in others now.
+    pub fn list(&mut self, now: Duration, whole: bool, members: Vec<Member>) -> Vec<Member> {
+        if whole {
+            self.members.clear();
+        }
+        let told: BTreeSet<Id> = members.iter().map(|member| member.server.clone()).collect();
+        for member in members {
+            self.members.insert(member.server.clone(), member);
+        }
+        let moved: BTreeSet<Id> = self.draw(now).into_iter().map(|member| member.server).collect();
+        let known =
+            self.members.values().filter(|m| whole || told.contains(&m.server) || moved.contains(&m.server));
+        let out = known.cloned().collect();
+        self.members.retain(|_, member| member.standing != Standing::Gone);
+        out
+    }
+
+    /// Draws the map over the caches of this location; who is in other cells now.
+    fn draw(&mut self, now: Duration) -> Vec<Member> {
+        let here = |m: &&Member| {
+            m.tier == Tier::Cache && m.location == self.location && m.standing != Standing::Gone
+        };
+        let servers = self.members.values().filter(here).map(|m| m.server.clone()).collect();
+        self.map.place(&servers);
+        let mut moved = Vec::new();
+        for member in self.members.values_mut() {
+            let cells = self.map.cells_of(&member.server);
+            if cells != member.cells {
+                member.cells = cells;
+                moved.push(member.clone());
+            }
+        }
+        for fault in self.map.faults() {
+            log::warn!(epoch = self.map.epoch(); "cells: {fault}");
+        }
+        let active = |m: &&Member| m.tier == Tier::Cache && m.standing == Standing::Active;
+        let alive: BTreeSet<Cell> =
+            self.members.values().filter(active).flat_map(|m| m.cells.iter().copied()).collect();
+        for at in 0..self.moves.len() {
+            let (from, to) = (self.moves[at].1.from, self.moves[at].1.to);
+            self.step(at, |moved| moved.alive(now, alive.contains(&from), alive.contains(&to)));
+        }
+        moved
+    }
+
+    /// One step of a move; told of where it leads to another state.
+    fn step(&mut self, at: usize, step: impl FnOnce(&mut Move)) {
+        let (what, moved) = &mut self.moves[at];
+        let (before, share) = (moved.state(), moved.share());
+        step(moved);
+        let (state, after) = (moved.state(), moved.share());
+        if (before, share) != (state, after) {
+            let (from, to) = (self.map.name(moved.from), self.map.name(moved.to));
+            log::info!(from = from, to = to, share = after; "cells: move of {what:?} is {state:?}");
+        }
+    }
+
+    /// An execution at a server ended: what a move that it belongs to goes by.
+    pub fn ended(&mut self, now: Duration, arrival: &Arrival, outcome: Outcome, remark: Remark) {
+        use Outcome::*;
+        let Some(cell) = arrival.cell.filter(|_| !self.moves.is_empty()) else { return };
+        let honoured = outcome == Honoured;
+        // What was refused, called off or not there says nothing of a cell.
+        if !honoured && !matches!(outcome, Error | TimedOut | Broken | Unreachable) {
+            return;
+        }
+        let hit = matches!(remark, Remark::Hit | Remark::Stale);
+        for at in 0..self.moves.len() {
+            if self.moves[at].0.covers(arrival) {
+                self.step(at, |moved| {
+                    moved.ended(now, cell, honoured, hit);
+                    moved.tick(now);
+                });
+            }
+        }
+    }
+
+    /// Of each move: what moves, from and to which cell, its state and share.
+    pub fn moves(&self) -> impl Iterator<Item = (String, &str, &str, State, f64)> {
+        self.moves.iter().map(|(what, moved)| {
+            let (from, to) = (self.map.name(moved.from), self.map.name(moved.to));
+            (format!("{what:?}"), from, to, moved.state(), moved.share())
+        })
+    }
+
+    /// The map in force, for operators.
+    pub fn map(&self) -> &Map {
+        &self.map
+    }
+
+    fn tenant(&self, arrival: &Arrival) -> [u8; 8] {
+        if self.by_customer { (arrival.customer as u64).to_le_bytes() } else { arrival.group.to_le_bytes() }
+    }
+
+    /// An access comes: its cell is set. Err: its tenant asks for too much, and may come back after so long.
+    pub fn access(&mut self, now: Duration, arrival: &mut Arrival, once: bool) -> Result<(), Duration> {
+        arrival.cell = self.map.cell_of(arrival);
+        let moved =
+            self.moves.iter().find(|(what, moved)| arrival.cell == Some(moved.from) && what.covers(arrival));
+        if let Some((_, moved)) = moved {
+            arrival.cell = Some(moved.cell(xxh3_64(arrival.object.as_bytes())));
+        }
+        let tenant = self.tenant(arrival);
+        // What must not run twice is the last to be turned away: no tenant's rate does it.
+        match self.tenants.as_mut().filter(|_| !once).map(|t| t.access(now, &tenant, arrival.repeated)) {
+            Some(Verdict::Late(wait)) => Err(wait),
+            _ => Ok(()),
+        }
+    }
+
+    pub fn honoured(&mut self, now: Duration, arrival: &Arrival) {
+        let tenant = self.tenant(arrival);
+        self.tenants.iter_mut().for_each(|tenants| tenants.honoured(now, &tenant));
+    }
+}
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -2,6 +2,7 @@
 
 use crate::brief::Brief;
 use crate::clock::Clock;
+use crate::confined::Confined;
 use crate::control_socket::Question;
 use crate::lines::{Answer, Passed, ask};
 use crate::link::{Ask, Key};
@@ -239,6 +240,7 @@
     desk: Desk,
     /// Places of own copies, until they have gone to the decisions with the first list.
     places: Vec<Member>,
+    confined: Option<Confined>,
     limits: Limits,
     /// By category: whether its accesses must not run twice.
     once: Vec<bool>,
@@ -247,6 +249,7 @@
     idle: Duration,
     phase: watch::Sender<Phase>,
     longest_hard_limit: Duration,
+    longest_advice: Option<Duration>,
     /// For the servers' actors to answer to.
     messages: mpsc::Sender<Message>,
     nonsense: Brief,
@@ -260,6 +263,7 @@
         phase: watch::Sender<Phase>,
         messages: mpsc::Sender<Message>,
         own: Option<Own>,
+        confined: Option<Confined>,
     ) -> Decider {
         let now = clock.now();
         let places = own.as_ref().map(Own::members).unwrap_or_default();
@@ -283,6 +287,7 @@
             router: Router::start(now, deployment, &mut desk),
             desk,
             places,
+            confined,
             once: deployment.categories.iter().map(|c| c.effect == Effect::Unrepeatable).collect(),
             bodies_most: limits.memory as f64 / 2.0,
             // Idle connections are closed before the other side does.
@@ -290,6 +295,7 @@
             limits,
             phase,
             longest_hard_limit: deployment.categories.iter().map(|c| c.hard_limit).max().unwrap_or_default(),
+            longest_advice: deployment.longest_advice,
             messages,
             nonsense: Brief::default(),
         }
@@ -404,8 +410,9 @@
 
     fn access(&mut self, new: New) {
         let New { mut arrival, passed, read_at, tag, client } = new;
+        let refused = arrival.id.clone();
         let refuse = |last| {
-            let _ = client.try_send(Reply { tag, id: arrival.id.clone(), last });
+            let _ = client.try_send(Reply { tag, id: refused, last });
         };
         if self.desk.accesses.contains_key(&arrival.id) {
             self.nonsense.log("an access with an id that is in use");
@@ -421,6 +428,12 @@
         }
         arrival.left = arrival.left.saturating_sub(self.desk.now.saturating_sub(read_at));
         let once = self.once.get(arrival.category) == Some(&true);
+        if let Some(confined) = &mut self.confined
+            && let Err(wait) = confined.access(self.desk.now, &mut arrival, once)
+        {
+            // The client is told to come back when its tenant may, as far as it heeds that.
+            return refuse(Last::Declined(self.longest_advice.map(|longest| wait.min(longest))));
+        }
         let (executions, kept) = (Vec::new(), arrival.clone());
         let client = Some(To::Client(client));
         let taken = Taken { client, tag, arrival: kept, passed, once, executions };
@@ -462,12 +475,18 @@
                     Last::Honoured { etag, body: answer.body.clone() }
                 };
                 desk.reply(&id, last);
+                if let (Some(confined), Some(taken)) = (&mut self.confined, desk.accesses.get(&id)) {
+                    confined.honoured(desk.now, &taken.arrival);
+                }
                 if let (true, Some(own), Some(taken)) = (by_server, &mut desk.own, desk.accesses.get(&id)) {
                     own.answered(&taken.arrival, &answer, taken.passed.have.as_ref());
                 }
                 desk.brought = (by_server && !answer.same).then(|| (id.clone(), answer));
             }
         }
+        if let (true, Some(confined), Some(taken)) = (by_server, &mut self.confined, desk.accesses.get(&id)) {
+            confined.ended(desk.now, &taken.arrival, told.outcome, told.remark);
+        }
         told.over = desk.accesses.get(&id).is_some_and(|taken| taken.client.is_none());
         desk.answered.push(id.clone());
         self.router.result(desk.now, &id, n, &told, desk);
@@ -491,6 +510,17 @@
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
         match (words.as_slice(), &self.desk.own) {
             (["store", "stat"], Some(own)) => own.report(),
+            (["cells", "stat"], _) => self.confined.as_ref().map_or_else(
+                || json!({"error": "there are no cells"}),
+                |confined| {
+                    let cells = confined.map().report().into_iter();
+                    let cells = cells.map(|(name, of)| json!({"cell": name, "servers": of.iter().map(|s| s.to_string()).collect::<Vec<_>>()}));
+                    let moves = confined.moves().map(|(what, from, to, state, share)| {
+                        json!({"what": what, "from": from, "to": to, "state": format!("{state:?}"), "share": share})
+                    });
+                    json!({"epoch": confined.epoch(), "cells": cells.collect::<Vec<_>>(), "moves": moves.collect::<Vec<_>>()})
+                },
+            ),
             (["store", "stat"], None) => {
                 json!({"error": "no own copies are kept: neither memory nor disk is set"})
             }
@@ -527,6 +557,18 @@
     pub fn notice(&mut self, notice: Notice) {
         let now = self.desk.clock.now();
         match notice {
+            Notice::Cells(plan) => {
+                let (Some(confined), epoch) = (&mut self.confined, plan.epoch()) else { return };
+                match confined.renew(now, *plan) {
+                    Some(moved) => {
+                        log::info!(epoch = epoch, moved = moved.len(); "cells: taken over");
+                        self.router.list(now, ListKind::Changes, &moved, &mut self.desk);
+                    }
+                    None => {
+                        log::warn!(epoch = epoch, in_force = confined.epoch(); "cells: an older map is not taken")
+                    }
+                }
+            }
             Notice::Heard => self.desk.own.iter_mut().for_each(Own::heard),
             Notice::Purge { object, group, ms } => {
                 let ago = now.saturating_sub(self.desk.clock.at_unix_ms(ms));
@@ -544,8 +586,11 @@
                 for (member, dial) in &members {
                     self.post(member, *dial, share.clamp(1, CONNECTIONS_MOST));
                 }
-                let own = std::mem::take(&mut self.places);
-                let members: Vec<Member> = members.into_iter().map(|(member, _)| member).chain(own).collect();
+                let mut members: Vec<Member> = members.into_iter().map(|(member, _)| member).collect();
+                if let Some(confined) = &mut self.confined {
+                    members = confined.list(now, whole, members);
+                }
+                members.append(&mut self.places);
                 self.router.list(now, kind, &members, &mut self.desk);
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -4,6 +4,7 @@
 mod brief;
 mod client;
 mod clock;
+pub mod confined;
 mod control_socket;
 mod decider;
 mod lines;
@@ -22,9 +23,12 @@
 use chalkhall_store::threads::End;
 use client::Door;
 use clock::Clock;
+use confined::Confined;
 use decider::{Decider, Message};
+use notices::Notice;
 use own::Own;
 use phase::Phase;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -38,15 +42,15 @@
 /// Events of the notice board, which go before them; the board is read no further meanwhile.
 const NOTICES_MOST: usize = 64;
 
-/// Runs a router until it has ended, told by its environment and an operator's file.
+/// Runs a router until it has ended, told by its environment and an operator's file, which is read anew with it.
 ///
 /// # Errors
 /// One line that names the key at fault, where it could not start; or what ended it before its time.
-pub fn serve(directives: Directives) -> Result<(), String> {
+pub fn serve(directives: Directives, file: Option<PathBuf>) -> Result<(), String> {
     let clock = Clock::start();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| e.to_string())?;
-    LocalSet::new().block_on(&runtime, run(clock, directives))
+    LocalSet::new().block_on(&runtime, run(clock, directives, file))
 }
 
 /// For the disk of own copies to be closed at the end.
@@ -56,7 +60,7 @@
     told::told(|name| std::env::var(name).ok(), clock)
 }
 
-async fn run(clock: Clock, directives: Directives) -> Result<(), String> {
+async fn run(clock: Clock, directives: Directives, file: Option<PathBuf>) -> Result<(), String> {
     // Taken up before all else: by default either signal ends the program where it stands.
     let listen_to = |kind| signal(kind).map_err(|e| e.to_string());
     let (stop, reload) = (listen_to(SignalKind::terminate())?, listen_to(SignalKind::hangup())?);
@@ -66,7 +70,14 @@
     let (limits, serving) = (told.limits.clone(), phase_of.clone());
     let (own, disk) = Own::open(&directives.store, &told, clock)?.unzip();
     let disk = disk.flatten().map(|ends| spawn_local(pass_on(ends, decider.clone())));
-    let mut decisions = Decider::start(clock, &told.deployment, limits, phase_of, decider.clone(), own);
+    let deployment = &told.deployment;
+    // The longest that an access, or what remembers its repeats, lasts.
+    let lasts = deployment.categories.iter().map(|category| category.hard_limit.max(category.window));
+    let settle = lasts.max().unwrap_or_default();
+    let (location, by_customer) = (deployment.location, !deployment.customers.is_empty());
+    let confined =
+        Confined::new(&directives.cells, &told.categories, location, by_customer, settle, deployment.seed)?;
+    let mut decisions = Decider::start(clock, deployment, limits, phase_of, decider.clone(), own, confined);
     // The list comes before the first access.
     let known = std::mem::take(&mut told.known).into_iter().filter_map(|(_, notice)| notice);
     known.for_each(|notice| decisions.notice(notice));
@@ -80,6 +91,7 @@
 
     let (anew, told_anew) = mpsc::channel(1);
     let (address, last, places) = (told.board, told.last_event, told.places.clone());
+    let cells = noticed.clone();
     spawn_local(Board { address, last, faulty: None, places, clock, decider: noticed }.run(told_anew));
     spawn_local(heed(stop, decider.clone()));
     serving.send_replace(Phase::Serving);
@@ -96,7 +108,8 @@
         spawn_local(control_socket::run(questions, decider.clone()));
     }
     let name = told.name.clone();
-    spawn_local(reread(reload, told, clock, anew));
+    let again = Again { told, file, clock, board: anew, cells };
+    spawn_local(again.run(reload));
     listener::run(socket, most, door, decider, phase).await;
     // Without decisions nothing can be answered: better to be started anew than to go on.
     deciding.await.map_err(|what| format!("the decisions failed: {what}"))?;
@@ -121,22 +134,50 @@
     }
 }
 
-/// Reads the configuration anew at each SIGHUP. Of one that is faulty nothing counts.
-async fn reread(mut reload: Signal, running: Told, clock: Clock, board: mpsc::Sender<Anew>) {
-    while reload.recv().await.is_some() {
-        let anew = match read(&clock) {
+/// What is read anew at each SIGHUP, and to whom it goes. Of a configuration or a file that is faulty nothing counts.
+struct Again {
+    told: Told,
+    file: Option<PathBuf>,
+    clock: Clock,
+    board: mpsc::Sender<Anew>,
+    cells: mpsc::Sender<Notice>,
+}
+
+impl Again {
+    async fn run(self, mut reload: Signal) {
+        while reload.recv().await.is_some() {
+            self.configuration().await;
+            self.directives().await;
+        }
+    }
+
+    async fn configuration(&self) {
+        let anew = match read(&self.clock) {
             Ok(anew) => anew,
-            Err(what) => {
-                log::warn!("the new configuration is not taken over: {what}");
-                continue;
-            }
+            Err(what) => return log::warn!("the new configuration is not taken over: {what}"),
         };
-        let otherwise = running.fixed_otherwise(&anew);
+        let otherwise = self.told.fixed_otherwise(&anew);
         if !otherwise.is_empty() {
             log::warn!("the new configuration has other {}: a restart is needed", otherwise.join(", "));
         }
         // Its events are read by the names in its settings, which are not those that the router runs with.
         let known = if otherwise.contains(&"settings") { Vec::new() } else { anew.known };
-        let _ = board.send(Anew { address: anew.board, known }).await;
+        let _ = self.board.send(Anew { address: anew.board, known }).await;
+    }
+
+    /// Of the operator's file the map of cells is taken over; all else needs a restart.
+    async fn directives(&self) {
+        let Some(file) = &self.file else { return };
+        let (directives, faults) = chalkhall_directives::read(file);
+        if let Some(fault) = faults.first() {
+            return log::warn!("the operator's file is not taken over: {fault} ({} faults)", faults.len());
+        }
+        if directives.cells.cells.is_empty() {
+            return;
+        }
+        match confined::plan(&directives.cells, &self.told.categories) {
+            Ok(plan) => drop(self.cells.send(Notice::Cells(Box::new(plan))).await),
+            Err(what) => log::warn!("the map of cells is not taken over: {what}"),
+        }
     }
 }
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -21,14 +21,14 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let (told, faults) =
-        arguments.directives.map(|path| chalkhall_directives::read(&path)).unwrap_or_default();
+    let file = arguments.directives;
+    let (told, faults) = file.as_deref().map(chalkhall_directives::read).unwrap_or_default();
     if !faults.is_empty() {
         faults.iter().for_each(|fault| eprintln!("chalkhall-router: {fault}"));
         return ExitCode::FAILURE;
     }
     chalkhall_router::logs::begin(&told.log);
-    match chalkhall_router::serve(told) {
+    match chalkhall_router::serve(told, file) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             eprintln!("chalkhall-router: {what}");
--- a/crates/router/src/notices.rs
+++ b/crates/router/src/notices.rs
@@ -1,6 +1,7 @@
 //! What the notice board tells: changes of the list of servers, and purges. Pure: no I/O.
 
 use crate::clock::Clock;
+use crate::confined::Plan;
 use chalkhall::interface::{Id, Member, Standing, Tier};
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -27,6 +28,8 @@
     },
     /// The board has nothing newer than what it told.
     Heard,
+    /// Not of the board: the operator has told another map of cells.
+    Cells(Box<Plan>),
 }
 
 /// One numbered event; an event of a kind that is not known is none.
@@ -79,6 +82,7 @@
         },
         capacity: entry.get("share").and_then(Value::as_f64).filter(|v| *v >= 0.0).unwrap_or(1.0),
         started: whole("born_ms").filter(|ms| *ms > 0).map(|ms| clock.at_unix_ms(ms)),
+        ..Member::default()
     };
     Ok((member, dial.parse().map_err(|_| format!("dial {dial:?} is not an address"))?))
 }
--- a/crates/router/src/own.rs
+++ b/crates/router/src/own.rs
@@ -268,6 +268,7 @@
                 part: copy.part,
                 group: copy.group,
                 kb: copy.kb,
+                cell: None,
                 left: self.categories[category].1.hard_limit,
                 repeated: true,
             };
--- /dev/null
+++ b/crates/router/tests/program/cells.rs
@@ -0,0 +1,186 @@
+//! Cells, through the program on loopback.
+
+use crate::stand_ins::*;
+use serde_json::json;
+use std::collections::BTreeSet;
+use std::time::Instant;
+
+/// Two caches beside `c1`, and a file of the operator's.
+fn world(directives: &str) -> World {
+    let mut world = World::new();
+    world.servers.push(Server::new("c2", "cache"));
+    world.servers.push(Server::new("c3", "cache"));
+    world.directives = directives.to_owned();
+    world
+}
+
+/// Asks for so many objects of a group and answers for whoever is asked: who was.
+fn asked(
+    world: &World,
+    client: &mut Client,
+    lines: &mut Vec<(String, Line)>,
+    from: u64,
+    group: u64,
+) -> BTreeSet<String> {
+    let mut who = BTreeSet::new();
+    for tag in from..from + 20 {
+        let fields = format!("i={:016x},o={tag:016x},lot={group},m=1,d=4000", tag + 0xcc00);
+        client.send(&[b"REQ", tag.to_string().as_bytes(), b"page", fields.as_bytes(), b""]);
+    }
+    // Looked at without a rest: a move takes many accesses.
+    let (end, mut answered) = (Instant::now() + LONG, 0);
+    while answered < 20 {
+        assert!(Instant::now() < end, "an answer did not come");
+        for server in &world.servers {
+            if let Some(line) = server.try_accept() {
+                lines.push((server.name.clone(), line));
+            }
+        }
+        for (name, line) in lines.iter_mut() {
+            if line.ready() {
+                line.serve(b"x");
+                who.insert(name.clone());
+            }
+        }
+        if client.ready() {
+            assert_eq!(client.word(), "ACK");
+            answered += 1;
+        }
+    }
+    who
+}
+
+fn names(of: &[&str]) -> BTreeSet<String> {
+    of.iter().map(|name| (*name).to_owned()).collect()
+}
+
+#[test]
+fn what_is_bound_stays_in_its_cell_and_a_new_map_is_taken_over_while_it_serves() {
+    let told = |epoch: u64, gold: &str| {
+        format!(
+            "cells {{\n epoch {epoch}\n cell gold list {gold}\n cell rest list c2 c3\n bind group 1-3 gold\n \
+             otherwise rest\n}}\n"
+        )
+    };
+    let mut world = world(&told(5, "c1"));
+    let program = world.start();
+    let (mut client, mut lines) = (program.client(), Vec::new());
+    assert_eq!(asked(&world, &mut client, &mut lines, 100, 2), names(&["c1"]));
+    assert_eq!(asked(&world, &mut client, &mut lines, 200, 7), names(&["c2", "c3"]));
+    // An older map is never gone back to, a faulty one counts for nothing; neither stops anything.
+    let file = world.path().with_file_name("chalkhall.conf");
+    let mut from = 300;
+    for (text, gold) in
+        [(told(4, "c2"), "c1"), ("cells {\n cell x list\n}\n".into(), "c1"), (told(6, "c3"), "c3")]
+    {
+        std::fs::write(&file, text).unwrap();
+        program.signal("HUP");
+        let mut who = BTreeSet::new();
+        until("the map in force", || {
+            from += 20;
+            who = asked(&world, &mut client, &mut lines, from, 2);
+            who == names(&[gold])
+        });
+    }
+}
+
+#[test]
+fn a_tenant_that_floods_is_declined_and_the_others_are_not() {
+    let mut world = world("cells {\n tenant-rate 20 40\n}\n");
+    let program = world.start();
+    let (mut client, mut lines) = (program.client(), Vec::new());
+    // Both are known: honoured before.
+    asked(&world, &mut client, &mut lines, 100, 1);
+    asked(&world, &mut client, &mut lines, 200, 2);
+    let mut declined = 0;
+    for tag in 1000..1100u64 {
+        let fields = format!("i={tag:016x},o={tag:016x},lot=1,m=1,d=4000");
+        client.send(&[b"REQ", tag.to_string().as_bytes(), b"page", fields.as_bytes(), b""]);
+        until("an answer", || {
+            for (_, line) in lines.iter_mut() {
+                if line.ready() {
+                    line.serve(b"x");
+                }
+            }
+            client.ready()
+        });
+        let (_, word, fields, _) = client.answer();
+        if word == "NAK" {
+            assert!(fields.starts_with("w="), "{fields}");
+            declined += 1;
+        }
+    }
+    assert!(declined >= 40, "{declined}");
+    // Another tenant is served, and what must not run twice is not turned away for its tenant's rate.
+    let fields = format!("i={:016x},o={:016x},lot=2,m=1,d=4000", 0xeeee, 0xeeee);
+    client.send(&[b"REQ", b"5000", b"page", fields.as_bytes(), b""]);
+    client.ask(5001, "confirm", "", b"");
+    let mut words = Vec::new();
+    until("two answers", || {
+        for server in &world.servers {
+            if let Some(line) = server.try_accept() {
+                lines.push((server.name.clone(), line));
+            }
+        }
+        for (_, line) in lines.iter_mut() {
+            if line.ready() {
+                line.serve(b"x");
+            }
+        }
+        if client.ready() {
+            words.push(client.word());
+        }
+        words.len() == 2
+    });
+    assert_eq!(words, ["ACK", "ACK"]);
+}
+
+#[test]
+fn a_map_that_makes_no_sense_is_refused_at_the_start_with_every_fault() {
+    let mut world =
+        world("cells {\n cell a list c1\n cell b share 150%\n bind category cakes a\n bind group 1 z\n}\n");
+    let (status, text) = world.spawn("").ended();
+    assert!(!status.success() && text.contains(":3:15: \"150%\" is not a share"), "{text}");
+    world.directives =
+        "cells {\n cell a list c1\n cell b share 50%\n bind category cakes a\n bind group 1 z\n}\n".into();
+    world.file["name"] = json!("n2");
+    let (status, text) = world.spawn("").ended();
+    assert!(!status.success());
+    for part in ["z is not a cell", "nothing belongs to cell b", "cakes is not a category"] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+}
+
+#[test]
+fn a_tenant_goes_over_as_the_new_cell_warms_and_comes_back_when_that_dies() {
+    let told = |epoch: u64, more: &str| {
+        format!(
+            "cells {{\n epoch {epoch}\n cell old list c1\n cell new list c2\n bind group 1 old\n{more} otherwise old\n}}\n"
+        )
+    };
+    let mut world = world(&told(1, " move group 1 new\n"));
+    let program = world.start();
+    let (mut board, _) = world.board.accept();
+    let (mut client, mut lines) = (program.client(), Vec::new());
+    // Everything that is sent to a server is answered from a copy there: as warm as the old one at once.
+    let mut from = 100;
+    let mut who = BTreeSet::new();
+    let mut both = false;
+    until("all of it in the new cell", || {
+        // The board is alive: what it tells below comes on this connection.
+        board.say("1\n");
+        from += 20;
+        who = asked(&world, &mut client, &mut lines, from, 1);
+        both |= who.len() == 2;
+        who == names(&["c2"])
+    });
+    assert!(both, "by and by");
+    // The new cell loses all it has: what has settled only just goes back.
+    let gone = world.server("c2").entry("leaving");
+    board.say(list(2, &[gone]));
+    until("all of it back", || {
+        from += 20;
+        who = asked(&world, &mut client, &mut lines, from, 1);
+        who == names(&["c1"])
+    });
+}
--- a/crates/router/tests/program/main.rs
+++ b/crates/router/tests/program/main.rs
@@ -1,5 +1,6 @@
 //! The program on loopback, between stand-ins for all it talks to.
 
+mod cells;
 mod own;
 mod stand_ins;
 
--- a/crates/router/tests/program/stand_ins/mod.rs
+++ b/crates/router/tests/program/stand_ins/mod.rs
@@ -253,7 +253,7 @@
         stream.set_nonblocking(true).unwrap();
         let come = stream.peek(&mut [0]).is_ok();
         stream.set_nonblocking(false).unwrap();
-        come
+        come || !self.reader.buffer().is_empty()
     }
 
     pub fn word(&mut self) -> String {
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -87,6 +87,7 @@
         },
         capacity: number(f, "CapacityHint")?,
         started: (started > 0.0).then(|| span(started)),
+        ..Member::default()
     };
     Ok((member, whole(f, "Sku")?))
 }
@@ -233,6 +234,7 @@
                     kb: number(f, "Kb")?,
                     left: span(number(f, "Ttl")?),
                     repeated: flag(f, "Repeat")?,
+                    cell: None,
                 };
                 if arrival.category >= hosted.classes {
                     return Err(format!("Priority {} names no class", arrival.category));
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,6 +3,7 @@
 //! `Router::send`, where the rules are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
+use chalkhall_structures::Recent;
 use lru::LruCache;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::{num::NonZeroUsize, time::Duration};
@@ -54,27 +55,6 @@
     out: &'a mut dyn Outlet,
 }
 
-#[derive(Default)]
-struct Recent {
-    arrived: VecDeque<f64>,
-    sorted: Vec<f64>,
-}
-
-impl Recent {
-    fn note(&mut self, value: f64) {
-        if self.arrived.len() == RECENT {
-            let oldest = self.arrived.pop_front().unwrap_or(value);
-            self.sorted.remove(self.sorted.partition_point(|v| *v < oldest));
-        }
-        self.arrived.push_back(value);
-        self.sorted.insert(self.sorted.partition_point(|v| *v < value), value);
-    }
-
-    fn quantile(&self, share: f64) -> f64 {
-        self.sorted.get((self.sorted.len() as f64 * share) as usize).copied().unwrap_or(0.0)
-    }
-}
-
 /// What the id list holds of one part of an object: stamps in accesses and in time, and the access cost.
 #[derive(Default)]
 struct Seen {
@@ -96,7 +76,7 @@
 
 impl Default for IdList {
     fn default() -> IdList {
-        let (scores, values) = (Recent::default(), Recent::default());
+        let (scores, values) = (Recent::new(RECENT), Recent::new(RECENT));
         IdList { seen: LruCache::new(ID_LIST), accesses: 0, scores, values }
     }
 }
@@ -122,9 +102,8 @@
         let refresh = fresh.map_or(0.0, |fresh| (since / fresh.as_secs_f64()).min(1.0));
         let value = seen.cost.unwrap_or(1.0) * (1.0 - refresh) / (count - seen.count) as f64;
         let score = if value > 0.0 { arrival.kb / value } else { f64::INFINITY };
-        let admitted =
-            self.values.sorted.len() < SIGHTINGS_BEFORE_GATE || value >= self.values.quantile(0.25);
-        let rank = match self.scores.sorted.len() {
+        let admitted = self.values.len() < SIGHTINGS_BEFORE_GATE || value >= self.values.quantile(0.25);
+        let rank = match self.scores.len() {
             n if n < SCORES_BEFORE_RANKS => 2,
             _ if score < self.scores.quantile(1.0 / 3.0) => 3,
             _ if score < self.scores.quantile(2.0 / 3.0) => 2,
@@ -520,8 +499,9 @@
                 xxh3_64_with_seed(access.arrival.object.as_bytes(), xxh3_64(s.member.server.as_bytes()));
             -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
         };
-        let near =
-            |s: &Server| s.member.tier == tier && (tier != Tier::Cache || s.member.location == self.location);
+        let of_cell = |s: &Server| access.arrival.cell.is_none_or(|cell| s.member.cells.contains(&cell));
+        let here = |s: &Server| s.member.location == self.location && of_cell(s);
+        let near = |s: &Server| s.member.tier == tier && (tier != Tier::Cache || here(s));
         let members = self.servers.values().filter(|s| near(s) && self.may_take(now, s, access));
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
         open.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -168,6 +168,8 @@
     pub capacity: f64,
     /// When it last started; none: long ago.
     pub started: Option<Duration>,
+    /// The cells that it is in, in order.
+    pub cells: Rc<[u32]>,
 }
 
 /// What a list says: the entries that changed, the whole, the whole as last seen, or that a call failed.
@@ -189,6 +191,8 @@
     pub part: u64,
     pub group: u64,
     pub kb: f64,
+    /// The cell it belongs to: only caches of that cell are asked for it; none: all are.
+    pub cell: Option<u32>,
     /// The client's own time.
     pub left: Duration,
     /// The client says that it asks again.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -13,6 +13,7 @@
 //!   expect PATTERN                one that matches, after those expected before; `*` is any word or the
 //!                                 rest, $X binds a word at first and stands for it afterwards
 //!   never PATTERN                 none      count PATTERN MIN MAX      so many
+//! A server's cells stand behind @, as in c1@0,2; an access's as cell=2.
 //! Servers are named by a letter and a number: c caches, p parents, o the origin, m own copies (m1 in memory, m2 on
 //! a disk), of a link that carries two answers. What they hold is set by
 //!   own m1 object=X [part=0] [age=0] [same=0]      own gone object=X
@@ -129,6 +130,7 @@
 }
 
 fn member(word: &str) -> Member {
+    let (word, cells) = word.split_once('@').unwrap_or((word, ""));
     let (name, state) = word.split_once('=').unwrap_or((word, ""));
     Member {
         server: name.into(),
@@ -147,6 +149,7 @@
         },
         capacity: if name.starts_with('m') { 2.0 } else { 6.0 },
         started: state.parse().ok().map(ms),
+        cells: cells.split(',').filter_map(|cell| cell.parse().ok()).collect(),
     }
 }
 
@@ -244,6 +247,7 @@
                         part: field("part", 0),
                         group: field("group", 0),
                         kb: field("kb", 100) as f64,
+                        cell: rest.iter().find_map(|w| w.strip_prefix("cell=")).and_then(|c| c.parse().ok()),
                         left: ms(field("left", 4000)),
                         repeated: field("repeated", 0) == 1,
                     };
