--- a/crates/cells/src/lib.rs
+++ b/crates/cells/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod limits;
 pub mod map;
 pub mod moves;
+pub mod plan;
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -75,6 +75,27 @@
         #[arg(long)]
         json: bool,
     },
+    /// Tells which tenants to move so that no cell is asked for more than it bears
+    #[command(after_help = "FILE holds {\"cells\":[{\"name\":..,\"capacity\":..,\"cold\":0.3}],
+\"tenants\":[{\"name\":..,\"load\":..,\"fill_kb\":..,\"cell\":..}]}: capacity and load in one unit, cold the share of
+its capacity that a cell takes anew at once, fill_kb what a tenant costs to be filled anew.
+
+Exit codes: 0 a plan; 1 some that should move find no room now.
+
+Example: chalkhall cells plan fleet.json --most 80% --why")]
+    Plan {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        /// How full a cell may be
+        #[arg(long, default_value = "80%")]
+        most: String,
+        /// Says of each move why, and what it costs
+        #[arg(long)]
+        why: bool,
+        /// JSON in place of text
+        #[arg(long)]
+        json: bool,
+    },
     /// Draws the map of an operator's file and tells every fault of it
     #[command(
         after_help = "Exit codes: 0 no fault; 1 faults: of the file, or cells with too few servers, or servers in none.
--- a/crates/cli/src/cells.rs
+++ b/crates/cli/src/cells.rs
@@ -2,6 +2,7 @@
 
 use crate::Failure;
 use chalkhall::interface::Id;
+use chalkhall_cells::plan::{Place, Tenant, Why, plan as plan_of};
 use chalkhall_deployment as deployment;
 use chalkhall_router::confined::plan;
 use serde_json::{Value, json};
@@ -84,3 +85,85 @@
         n => Err(Failure::new(format!("{n} faults"))),
     }
 }
+
+/// The fleet in a file: cells and tenants.
+fn fleet(file: &Path) -> Result<(Vec<Tenant>, Vec<Place>), String> {
+    let text = std::fs::read_to_string(file).map_err(|e| e.to_string())?;
+    let told: Value = serde_json::from_str(&text).map_err(|e| e.to_string())?;
+    let rows = |name: &str| told[name].as_array().cloned().ok_or(format!("{name} is not an array"));
+    let text = |row: &Value, name: &str| {
+        row[name].as_str().map(str::to_owned).ok_or(format!("{name} of {row} is no text"))
+    };
+    let number = |row: &Value, name: &str| row[name].as_f64().ok_or(format!("{name} of {row} is no number"));
+    let place = |row: &Value| {
+        Ok(Place { name: text(row, "name")?, capacity: number(row, "capacity")?, cold: number(row, "cold")? })
+    };
+    let places = rows("cells")?.iter().map(place).collect::<Result<Vec<Place>, String>>()?;
+    let tenant = |row: &Value| {
+        let cell = text(row, "cell")?;
+        let cell = places.iter().position(|p| p.name == cell).ok_or(format!("{cell} is not a cell"))?;
+        Ok(Tenant {
+            name: text(row, "name")?,
+            load: number(row, "load")?,
+            fill_kb: number(row, "fill_kb")?,
+            cell,
+        })
+    };
+    let tenants = rows("tenants")?.iter().map(tenant).collect::<Result<Vec<Tenant>, String>>()?;
+    Ok((tenants, places))
+}
+
+/// Prints what moves, and with `why` the reason and the cost.
+pub fn plan_moves(file: &Path, most: &str, why: bool, as_json: bool) -> Result<(), Failure> {
+    let fail = |what: String| Failure::new(format!("{}: {what}", file.display()));
+    let share = most.strip_suffix('%').and_then(|p| p.parse::<f64>().ok()).map(|p| p / 100.0);
+    let share =
+        share.ok_or_else(|| Failure { code: 2, what: format!("{most:?} is not a share, such as 80%") })?;
+    let (tenants, places) = fleet(file).map_err(fail)?;
+    let plan = plan_of(&tenants, &places, share).map_err(fail)?;
+    let reason = |why: Why| match why {
+        Why::Crowded(share) => format!("its cell is asked for {:.0} % of what it bears", share * 100.0),
+        Why::Closed => "its cell bears nothing any more".to_owned(),
+    };
+    let name = |cell: usize| places[cell].name.as_str();
+    if as_json {
+        let steps: Vec<Value> = plan
+            .steps
+            .iter()
+            .map(|s| {
+                let tenant = &tenants[s.tenant];
+                json!({"tenant": tenant.name, "from": name(s.from), "to": name(s.to), "why": reason(s.why),
+                    "fill_kb": tenant.fill_kb})
+            })
+            .collect();
+        let stuck: Vec<&str> = plan.stuck.iter().map(|n| tenants[*n].name.as_str()).collect();
+        println!(
+            "{}",
+            json!({"moves": steps, "stuck": stuck, "fill_kb": plan.fill_kb, "bound_kb": plan.bound_kb,
+            "fullest_before": plan.fullest[0], "fullest_after": plan.fullest[1]})
+        );
+    } else {
+        for step in &plan.steps {
+            let tenant = &tenants[step.tenant];
+            let more = if why {
+                format!(": {}; {:.0} KB to fill", reason(step.why), tenant.fill_kb)
+            } else {
+                String::new()
+            };
+            println!("move {} from {} to {}{more}", tenant.name, name(step.from), name(step.to));
+        }
+        plan.stuck.iter().for_each(|n| println!("no room now for {}", tenants[*n].name));
+        println!(
+            "{} moves, {:.0} KB to fill (no plan less than {:.0}); the fullest cell goes from {:.0} % to {:.0} %",
+            plan.steps.len(),
+            plan.fill_kb,
+            plan.bound_kb,
+            plan.fullest[0] * 100.0,
+            plan.fullest[1] * 100.0
+        );
+    }
+    match plan.stuck.len() {
+        0 => Ok(()),
+        n => Err(Failure::new(format!("{n} find no room now"))),
+    }
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -16,6 +16,7 @@
         }
         Command::Store(command) => of_store(command),
         Command::Cells(Cells::Stat { socket, json }) => store::ask_live(&socket, "cells stat", json),
+        Command::Cells(Cells::Plan { file, most, why, json }) => cells::plan_moves(&file, &most, why, json),
         Command::Cells(Cells::Check { file, servers, config, json }) => {
             cells::check(&file, &servers, config.as_deref(), json)
         }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -221,3 +221,29 @@
     let unknown = chalkhall(&["cells", "check", path, "--config", config]);
     assert!(text(&unknown).contains("cakes is not a category"), "{}", text(&unknown));
 }
+
+#[test]
+fn a_plan_says_what_moves_why_and_what_it_costs() {
+    let folder = Folder::new("plan");
+    let file = folder.0.join("fleet.json");
+    let path = file.to_str().unwrap();
+    let cell = |name: &str| serde_json::json!({"name": name, "capacity": 10, "cold": 0.3});
+    let tenant = |name: &str, load: f64, fill: f64, cell: &str| serde_json::json!({"name": name, "load": load, "fill_kb": fill, "cell": cell});
+    let fleet = serde_json::json!({
+        "cells": [cell("a"), cell("b")],
+        "tenants": [tenant("dear", 3.0, 900.0, "a"), tenant("cheap", 2.5, 100.0, "a"), tenant("big", 4.5, 800.0, "a")],
+    });
+    std::fs::write(&file, fleet.to_string()).unwrap();
+    let told = text(&chalkhall(&["cells", "plan", path, "--why"]));
+    let expected = "move cheap from a to b: its cell is asked for 100 % of what it bears; 100 KB to fill";
+    assert!(told.starts_with(expected), "{told}");
+    assert_eq!(json(&["cells", "plan", path, "--json"])["fullest_after"].as_f64(), Some(0.75));
+    // Cold, a cell takes no more than so much at once.
+    let output = chalkhall(&["cells", "plan", path, "--most", "20%"]);
+    assert!(
+        output.status.code() == Some(1) && text(&output).contains("no room now for"),
+        "{}",
+        text(&output)
+    );
+    assert_eq!(chalkhall(&["cells", "plan", path, "--most", "most"]).status.code(), Some(2));
+}
