--- a/crates/background/src/lib.rs
+++ b/crates/background/src/lib.rs
@@ -1,8 +1,8 @@
 //! Which background work goes next, and when none may: a scheduler without I/O, threads or clock.
 //!
-//! Work comes in kinds. Each kind has a priority, budgets (bytes, operations and time of a core, each as a rate with a
-//! purse), a deadline after which waiting work counts as urgent, and a bound after which it goes even if all else says
-//! no: nothing starves. While the program's own turns come late, only what has passed that bound goes.
+//! Work comes in kinds. Each kind has a priority, budgets (bytes, operations and time of a core, each as a rate
+//! with a purse), a deadline after which waiting work counts as urgent, and a bound after which it goes even if
+//! all else says no: nothing starves. While the program's own turns come late, only what has passed that bound goes.
 //!
 //! ```
 //! use chalkhall_background::{Cost, Kind, Rate, Scheduler};
@@ -170,7 +170,8 @@
 }
 
 impl Scheduler {
-    /// Kinds are numbered as they stand here. `late_over`: the delay of the program's own turns that pauses work.
+    /// Kinds are numbered as they stand here. `late_over`: the delay of the program's own turns that pauses
+    /// work.
     pub fn new(kinds: Vec<Kind>, late_over: Duration) -> Scheduler {
         let row = |kind: Kind| Row {
             purses: [kind.bytes, kind.operations, kind.core].map(|rate| rate.map(Purse::new)),
@@ -395,8 +396,8 @@
     }
 
     proptest! {
-        /// Whatever comes: over any run no kind takes more than its rate and one purse and one piece more, unless it
-        /// starved, and no piece waits past the bound while the scheduler is asked.
+        /// Whatever comes: over any run no kind takes more than its rate and one purse and one piece more,
+        /// unless it starved, and no piece waits past the bound while the scheduler is asked.
         #[test]
         fn budgets_hold_and_nothing_starves(
             seed in any::<u64>(),
--- a/crates/cells/src/limits.rs
+++ b/crates/cells/src/limits.rs
@@ -1,10 +1,11 @@
-//! What a tenant may ask for: a rate with bursts, and a budget of retries that grows with what it has honoured. State is
-//! bounded however many names come: tenants that were honoured keep theirs, the rest share what a sketch remembers.
+//! What a tenant may ask for: a rate with bursts, and a budget of retries that grows with what it has
+//! honoured. State is bounded however many names come: tenants that were honoured keep theirs, the rest share
+//! what a sketch remembers.
 //!
-//! A flood of new names cannot evict an honest tenant's state: a name gets a row of its own only once it has been
-//! honoured so often, and rows leave by when they were last honoured. Before that it is counted in a count-min sketch
-//! (Cormode and Muthukrishnan, "An improved data stream summary", 2005), where names that meet are taken for one: a new
-//! tenant among a flood of new ones is declined with them, an old one is not.
+//! A flood of new names cannot evict an honest tenant's state: a name gets a row of its own only once it has
+//! been honoured so often, and rows leave by when they were last honoured. Before that it is counted in a
+//! count-min sketch (Cormode and Muthukrishnan, "An improved data stream summary", 2005), where names that
+//! meet are taken for one: a new tenant among a flood of new ones is declined with them, an old one is not.
 
 use lru::LruCache;
 use std::num::NonZeroUsize;
--- a/crates/cells/src/map.rs
+++ b/crates/cells/src/map.rs
@@ -1,9 +1,10 @@
 //! The cell map: which cache servers are in which cells, and which cell an access belongs to.
 //!
-//! Every router draws the same map from the same directives and the same list of servers, whatever the order in which it
-//! heard of them; a server that comes or goes moves as few others as can be (rendezvous hashing: Thaler and Ravishankar,
-//! "Using name-based mappings to increase hit rates", 1998). Shuffle sharding: each cell draws K of N, and no two share
-//! more than a bound (AWS Builders' Library, "Workload isolation using shuffle-sharding").
+//! Every router draws the same map from the same directives and the same list of servers, whatever the order
+//! in which it heard of them; a server that comes or goes moves as few others as can be (rendezvous hashing:
+//! Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998). Shuffle sharding: each
+//! cell draws K of N, and no two share more than a bound (AWS Builders' Library, "Workload isolation using
+//! shuffle-sharding").
 
 use chalkhall::interface::{Arrival, Id};
 use std::collections::{BTreeMap, BTreeSet};
@@ -179,7 +180,8 @@
         self.told.cells.is_empty()
     }
 
-    /// The cell that an access belongs to: by its object, its group, its customer, its category, in this order.
+    /// The cell that an access belongs to: by its object, its group, its customer, its category, in this
+    /// order.
     pub fn cell_of(&self, arrival: &Arrival) -> Option<Cell> {
         let by_object = self.prefixes.iter().find(|(prefix, _)| arrival.object.starts_with(prefix.as_str()));
         let by_group =
@@ -266,7 +268,8 @@
             cells.into_iter().map(|(server, cells)| (server, cells.into_iter().collect())).collect();
     }
 
-    /// What an operator should know of the map as it is drawn: cells with too few servers, and servers in none.
+    /// What an operator should know of the map as it is drawn: cells with too few servers, and servers in
+    /// none.
     pub fn faults(&self) -> Vec<String> {
         let mut counts = vec![0usize; self.told.cells.len()];
         let mut nowhere = 0;
@@ -399,14 +402,22 @@
     }
 
     proptest! {
-        /// All routers draw the same, whatever they heard first; no two drawn cells share more than the bound.
+        /// All routers draw the same, whatever they heard first; no two drawn cells share more than the
+        /// bound.
         #[test]
-        fn drawn_cells_overlap_within_the_bound(count in 8u32..60, cells in 1usize..12, k in 1usize..5, overlap in 0usize..3) {
+        fn drawn_cells_overlap_within_the_bound(
+            count in 8u32..60,
+            cells in 1usize..12,
+            k in 1usize..5,
+            overlap in 0usize..3,
+        ) {
             let names: Vec<String> = (0..cells).map(|n| format!("cell-{n}")).collect();
-            let told = Told { overlap: Some(overlap), ..told(names.iter().map(|n| (n.as_str(), Members::Shuffle(k))).collect()) };
+            let drawn = names.iter().map(|n| (n.as_str(), Members::Shuffle(k))).collect();
+            let told = Told { overlap: Some(overlap), ..told(drawn) };
             let mut map = Map::new(told).unwrap();
             map.place(&servers(0..count));
-            let report: Vec<BTreeSet<Id>> = map.report().into_iter().map(|(_, s)| s.into_iter().collect()).collect();
+            let report = map.report().into_iter();
+            let report: Vec<BTreeSet<Id>> = report.map(|(_, s)| s.into_iter().collect()).collect();
             for (n, one) in report.iter().enumerate() {
                 prop_assert!(one.len() <= k);
                 prop_assert!(report[..n].iter().all(|other| one.intersection(other).count() <= overlap));
--- a/crates/cells/src/moves.rs
+++ b/crates/cells/src/moves.rs
@@ -1,10 +1,10 @@
 //! Moving a tenant from one cell to another while it is served: a state machine without I/O.
 //!
-//! Each router moves by what it sees itself, with no word to the others: a growing share of the tenant's objects, chosen by
-//! hash, goes to the new cell. The share doubles when what was sent there is answered from copies about as often as in the
-//! old cell, so it follows the warmth of the new cell and not the clock. Two routers at different shares break nothing:
-//! either cell may serve any of its objects, and rule 4 is kept where every send passes. An access keeps the cell that it
-//! was given when it came, for all its executions.
+//! Each router moves by what it sees itself, with no word to the others: a growing share of the tenant's
+//! objects, chosen by hash, goes to the new cell. The share doubles when what was sent there is answered from
+//! copies about as often as in the old cell, so it follows the warmth of the new cell and not the clock. Two
+//! routers at different shares break nothing: either cell may serve any of its objects, and rule 4 is kept
+//! where every send passes. An access keeps the cell that it was given when it came, for all its executions.
 
 use crate::map::Cell;
 use chalkhall::control::Judged;
@@ -75,10 +75,11 @@
         self.paused
     }
 
-    /// The cell of an access that comes now. For one share always the same by object; more of it goes over as the share
-    /// grows and none comes back but by a roll-back.
+    /// The cell of an access that comes now. For one share always the same by object; more of it goes over as
+    /// the share grows and none comes back but by a roll-back.
     pub fn cell(&self, object: u64) -> Cell {
-        // As many bits as a number of this kind holds: rounded up, the last objects would stay behind for ever.
+        // As many bits as a number of this kind holds: rounded up, the last objects would stay behind for
+        // ever.
         let drawn = (object >> 11) as f64 / (1u64 << 53) as f64;
         if drawn < self.share { self.to } else { self.from }
     }
@@ -92,8 +93,9 @@
         self.paused = false;
     }
 
-    /// Turns it round: under way it goes back at once, where the old cell's copies still are; one that went back begins
-    /// anew, from the first share on: whatever the new cell had may have gone. One that is done is another move.
+    /// Turns it round: under way it goes back at once, where the old cell's copies still are; one that went
+    /// back begins anew, from the first share on: whatever the new cell had may have gone. One that is done
+    /// is another move.
     pub fn reverse(&mut self) {
         match self.state {
             State::Done => {}
@@ -110,7 +112,8 @@
         }
     }
 
-    /// Which cells have anybody to serve. A new cell that lost all takes nothing; an old one that did keeps nothing.
+    /// Which cells have anybody to serve. A new cell that lost all takes nothing; an old one that did keeps
+    /// nothing.
     pub fn alive(&mut self, now: Duration, from: bool, to: bool) {
         use State::*;
         match (self.state, from, to) {
@@ -331,8 +334,9 @@
         (moved.state(), (moved.share() * 64.0) as u32, moved.is_paused(), old, new)
     }
 
-    /// Every way in which two routers' moves can go, each by itself and in any order between them, with kills, epochs told
-    /// to one and not yet to the other, and cells that die: all that can be reached is looked at.
+    /// Every way in which two routers' moves can go, each by itself and in any order between them, with
+    /// kills, epochs told to one and not yet to the other, and cells that die: all that can be reached is
+    /// looked at.
     #[test]
     fn every_reachable_pair_of_two_routers_is_sound_and_leads_to_an_end() {
         let start: Key = (State::Prepared, 0, false, true, true);
@@ -378,8 +382,8 @@
             }
             assert!(one.keys().all(|k| good.contains(k) || k.0 == State::Done), "{end:?}");
         }
-        // Two routers share nothing but the cells' life: a pair is sound where each is, and an object that either sends
-        // somewhere goes to one of the two cells, alive if one is.
+        // Two routers share nothing but the cells' life: a pair is sound where each is, and an object that
+        // either sends somewhere goes to one of the two cells, alive if one is.
         let mut pairs = 0u64;
         for a in one.keys() {
             for b in one.keys().filter(|b| (b.3, b.4) == (a.3, a.4)) {
--- a/crates/cells/src/plan.rs
+++ b/crates/cells/src/plan.rs
@@ -1,10 +1,11 @@
-//! Placement: which tenants go to which cells, so that no cell is asked for more than it bears and as little as can be has
-//! to be filled anew.
+//! Placement: which tenants go to which cells, so that no cell is asked for more than it bears and as little
+//! as can be has to be filled anew.
 //!
-//! A cell over its bound sheds tenants: those that cost least to fill for the load they take along, then fewer where fewer
-//! do (covering knapsack by density, with the last one exchanged and the needless left out). What is shed goes to the
-//! cell with most room, largest first, and no cell takes more at once than its cold servers bear. The lower bound is of a
-//! plan that may cut tenants in pieces: what each cell over its bound must shed, at the best density it has.
+//! A cell over its bound sheds tenants: those that cost least to fill for the load they take along, then
+//! fewer where fewer do (covering knapsack by density, with the last one exchanged and the needless left
+//! out). What is shed goes to the cell with most room, largest first, and no cell takes more at once than its
+//! cold servers bear. The lower bound is of a plan that may cut tenants in pieces: what each cell over its
+//! bound must shed, at the best density it has.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -74,10 +75,12 @@
     }
 }
 
-/// A plan after which no cell is asked for more than the share `most` of what it bears, as far as there is room.
+/// A plan after which no cell is asked for more than the share `most` of what it bears, as far as there is
+/// room.
 ///
 /// # Errors
-/// A figure that is none: a negative or infinite load, cost or capacity, or a tenant in a cell that is not there.
+/// A figure that is none: a negative or infinite load, cost or capacity, or a tenant in a cell that is not
+/// there.
 pub fn plan(tenants: &[Tenant], places: &[Place], most: f64) -> Result<Plan, String> {
     let sound = |n: f64| n.is_finite() && n >= 0.0;
     if let Some(t) = tenants.iter().find(|t| !sound(t.load) || !sound(t.fill_kb) || t.cell >= places.len()) {
@@ -156,7 +159,8 @@
             break;
         }
     }
-    // In place of the last one, which may be far larger than what is still needed: the cheapest that is enough.
+    // In place of the last one, which may be far larger than what is still needed: the cheapest that is
+    // enough.
     if let Some(last) = picked.pop() {
         let need = over - (load - tenants[last].load);
         let rest = row.iter().filter(|n| !picked.contains(n) && tenants[**n].load >= need);
@@ -225,7 +229,8 @@
         assert!(super::plan(&[tenant(0, 1.0, 3)], &[place(1.0)], 0.8).is_err());
     }
 
-    /// The same plan as a linear program, tenants cut as it likes: what must leave a cell, and what others take.
+    /// The same plan as a linear program, tenants cut as it likes: what must leave a cell, and what others
+    /// take.
     fn relaxed(tenants: &[Tenant], places: &[Place], most: f64) -> Option<f64> {
         let mut problem = Problem::new(OptimizationDirection::Minimize);
         let mut rows = Vec::new();
@@ -251,10 +256,14 @@
     proptest! {
         #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
 
-        /// Whatever fleet: the plan keeps its bounds, costs no less than the solver's and the lower bound, and the lower
-        /// bound no more than the solver's.
+        /// Whatever fleet: the plan keeps its bounds, costs no less than the solver's and the lower bound,
+        /// and the lower bound no more than the solver's.
         #[test]
-        fn plans_keep_their_bounds_beside_a_solver(seed in any::<u64>(), tenants in 10usize..80, cells in 2usize..7) {
+        fn plans_keep_their_bounds_beside_a_solver(
+            seed in any::<u64>(),
+            tenants in 10usize..80,
+            cells in 2usize..7,
+        ) {
             let (tenants, places) = fleet(seed, tenants, cells);
             let plan = plan(&tenants, &places, 0.8).unwrap();
             let (mut loads, mut arrived) = (vec![0.0; cells], vec![0.0; cells]);
@@ -272,7 +281,8 @@
             }
             if plan.stuck.is_empty() && let Some(solved) = relaxed(&tenants, &places, 0.8) {
                 prop_assert!(plan.fill_kb >= solved - 1e-6, "{} under the solver's {solved}", plan.fill_kb);
-                prop_assert!(plan.bound_kb <= solved + 1e-6, "bound {} over the solver's {solved}", plan.bound_kb);
+                let bound = plan.bound_kb;
+                prop_assert!(bound <= solved + 1e-6, "bound {bound} over the solver's {solved}");
             }
         }
     }
--- a/crates/cli/src/bin/proof-store/day.rs
+++ b/crates/cli/src/bin/proof-store/day.rs
@@ -1,10 +1,11 @@
-//! Days of accesses through the real decisions and the real store, on a disk in memory, beside two baselines with the
-//! same bytes. Simulated: time is counted, and a fill takes none.
+//! Days of accesses through the real decisions and the real store, on a disk in memory, beside two baselines
+//! with the same bytes. Simulated: time is counted, and a fill takes none.
 //!
-//! Popularity falls off as a power (Breslau and others, "Web caching and Zipf-like distributions", INFOCOM 1999) and
-//! moves on slowly; two thirds of the objects are pages of one part, one third clips of 8 to 20 parts that are asked for
-//! one after another; one start in twenty is for something that nobody asks for again. On a day with a scan, in its
-//! middle third, half as many accesses again are for large parts that are wanted once.
+//! Popularity falls off as a power (Breslau and others, "Web caching and Zipf-like distributions", INFOCOM
+//! 1999) and moves on slowly; two thirds of the objects are pages of one part, one third clips of 8 to 20
+//! parts that are asked for one after another; one start in twenty is for something that nobody asks for
+//! again. On a day with a scan, in its middle third, half as many accesses again are for large parts that are
+//! wanted once.
 
 use bytes::Bytes;
 use chalkhall::control::Router;
--- a/crates/cli/src/bin/proof-store/main.rs
+++ b/crates/cli/src/bin/proof-store/main.rs
@@ -1,5 +1,6 @@
-//! Plays the hard cases of the store and ends on one line of measured figures; non-zero where one falls short, with its
-//! name. Bounds are checked on what was counted in this run; timings only as ratios within it.
+//! Plays the hard cases of the store and ends on one line of measured figures; non-zero where one falls
+//! short, with its name. Bounds are checked on what was counted in this run; timings only as ratios within
+//! it.
 
 mod counted;
 mod day;
--- a/crates/cli/src/bin/proof-store/timed.rs
+++ b/crates/cli/src/bin/proof-store/timed.rs
@@ -61,8 +61,8 @@
     Ok(names.filter(|p| p.file_name().is_some_and(|n| n.to_string_lossy().starts_with("segment"))).collect())
 }
 
-/// Verified reads of parts of 200 KB through the store, over plain reads of the same files in pieces as large: bytes a
-/// second, the median of several turns one after the other.
+/// Verified reads of parts of 200 KB through the store, over plain reads of the same files in pieces as
+/// large: bytes a second, the median of several turns one after the other.
 pub fn read_ratio(path: &Path, seed: u64) -> Result<f64, String> {
     const SIZE: usize = 200_000;
     let pieces = filled(path, 400, SIZE)?;
@@ -226,9 +226,9 @@
     }
 }
 
-/// The 99th percentile of accesses answered from memory while the disk hangs with all its mailboxes full, over the same
-/// with no disk: the median of many rounds, each one beside the other, over stores made anew: where a table happens to
-/// lie in memory makes a tenth of difference.
+/// The 99th percentile of accesses answered from memory while the disk hangs with all its mailboxes full,
+/// over the same with no disk: the median of many rounds, each one beside the other, over stores made anew:
+/// where a table happens to lie in memory makes a tenth of difference.
 pub fn hung_ratio(seed: u64) -> Result<f64, String> {
     let mut chance = fastrand::Rng::with_seed(seed);
     let ratios: Result<Vec<f64>, String> = (0..15).map(|_| hung_beside_none(&mut chance)).collect();
--- a/crates/cli/src/cells.rs
+++ b/crates/cli/src/cells.rs
@@ -66,7 +66,10 @@
         let cells: Vec<Value> = map
             .report()
             .into_iter()
-            .map(|(name, servers)| json!({"cell": name, "servers": servers.iter().map(|s| s.to_string()).collect::<Vec<_>>()}))
+            .map(|(name, servers)| {
+                let servers: Vec<String> = servers.iter().map(|s| s.to_string()).collect();
+                json!({"cell": name, "servers": servers})
+            })
             .collect();
         println!(
             "{}",
@@ -154,7 +157,7 @@
         }
         plan.stuck.iter().for_each(|n| println!("no room now for {}", tenants[*n].name));
         println!(
-            "{} moves, {:.0} KB to fill (no plan less than {:.0}); the fullest cell goes from {:.0} % to {:.0} %",
+            "{} moves, {:.0} KB to fill (no plan less than {:.0}); the fullest cell: {:.0} %, then {:.0} %",
             plan.steps.len(),
             plan.fill_kb,
             plan.bound_kb,
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -10,8 +10,8 @@
     let (_, faults) = read(file);
     if as_json {
         let told = faults.iter().map(|f| {
-            json!({"file": f.file.as_ref().map(|f| f.display().to_string()), "line": f.line, "column": f.column,
-                "what": f.what})
+            let file = f.file.as_ref().map(|f| f.display().to_string());
+            json!({"file": file, "line": f.line, "column": f.column, "what": f.what})
         });
         println!("{}", json!({"faults": told.collect::<Vec<_>>()}));
     } else {
--- a/crates/cli/src/torture.rs
+++ b/crates/cli/src/torture.rs
@@ -1,5 +1,5 @@
-//! `store torture`: real processes, killed at random instants while they write; after each kill everything is read and
-//! held against what the killed one had said.
+//! `store torture`: real processes, killed at random instants while they write; after each kill everything is
+//! read and held against what the killed one had said.
 
 use crate::Failure;
 use crate::rig::{Rig, unix_ms};
@@ -50,8 +50,8 @@
     pub unproven_served: u64,
 }
 
-/// Writes until it is killed, and says on standard output what it told the store and what the store told it: `P` a
-/// purge, before it is told; `D` what outlives a crash, after; `G` what was let go of, before it goes.
+/// Writes until it is killed, and says on standard output what it told the store and what the store told it:
+/// `P` a purge, before it is told; `D` what outlives a crash, after; `G` what was let go of, before it goes.
 pub fn writer(path: &Path, seed: u64) -> Result<(), Failure> {
     let mut chance = fastrand::Rng::with_seed(seed);
     let mut rig = Rig::open(path, MEMORY, wanted(), 2).map_err(Failure::new)?;
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -1,4 +1,5 @@
-//! Reads the settings of a deployment, as JSON, into what a router is told at its start. Unknown keys are skipped.
+//! Reads the settings of a deployment, as JSON, into what a router is told at its start. Unknown keys are
+//! skipped.
 //!
 //! ```
 //! let settings = serde_json::json!({
--- a/crates/directives/src/lines.rs
+++ b/crates/directives/src/lines.rs
@@ -11,8 +11,8 @@
 /// One line that says something: its words, never none. `{` and `}` are words of their own.
 pub type Line = Vec<Word>;
 
-/// The lines of a text, and what could not be read of it. `#` begins a comment; a word in double quotes may hold
-/// anything but a line's end, with `\"` and `\\` for themselves.
+/// The lines of a text, and what could not be read of it. `#` begins a comment; a word in double quotes may
+/// hold anything but a line's end, with `\"` and `\\` for themselves.
 pub fn lines(text: &str) -> (Vec<Line>, Vec<(usize, usize, String)>) {
     let (mut found, mut faults) = (Vec::new(), Vec::new());
     for (n, line) in text.lines().enumerate() {
--- a/crates/directives/src/words.rs
+++ b/crates/directives/src/words.rs
@@ -82,7 +82,8 @@
     /// Written bytes are synced after so long, or so many.
     pub sync_after: Duration,
     pub sync_bytes: u64,
-    /// The notice board's first list names every purge of this long before a start. 0: nothing is known of them.
+    /// The notice board's first list names every purge of this long before a start. 0: nothing is known of
+    /// them.
     pub known_purges: Duration,
     /// Copies from before a start that are asked for again in a second; 0: they are dropped.
     pub revalidate: f64,
--- a/crates/router/src/board.rs
+++ b/crates/router/src/board.rs
@@ -10,8 +10,8 @@
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// The board says its last number each second: after this long without it the connection is dead. What a silent
-/// board holds back counts as told 4 s after it stopped.
+/// The board says its last number each second: after this long without it the connection is dead. What a
+/// silent board holds back counts as told 4 s after it stopped.
 const SILENCE: Duration = Duration::from_millis(1800);
 const CONNECT: Duration = Duration::from_millis(500);
 /// Between tries to connect anew; doubled from the first to the second.
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -31,7 +31,8 @@
 const STUCK: Duration = Duration::from_secs(6);
 /// Clients close their idle connections after 4 s; those who keep them for good hold descriptors for nothing.
 const IDLE: Duration = Duration::from_secs(5);
-/// A first message, and each that has begun, comes whole within this; silence and half a message are owed an end.
+/// A first message, and each that has begun, comes whole within this; silence and half a message are owed an
+/// end.
 const WHOLE: Duration = Duration::from_secs(2);
 /// For what a client whose stream cannot be read is told at last.
 const LAST_WORDS: Duration = Duration::from_millis(200);
@@ -316,7 +317,8 @@
     }
 }
 
-/// Waits until something has come before it takes memory for it: most connections say nothing most of the time.
+/// Waits until something has come before it takes memory for it: most connections say nothing most of the
+/// time.
 async fn read(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
     reader.readable().await?;
     if buffer.capacity() - buffer.len() < 1024 {
--- a/crates/router/src/confined.rs
+++ b/crates/router/src/confined.rs
@@ -1,10 +1,12 @@
-//! Cells as the decider uses them: the map drawn over the list, an access's cell, a tenant's limit at the door.
+//! Cells as the decider uses them: the map drawn over the list, an access's cell, a tenant's limit at the
+//! door.
 
 use chalkhall::interface::{Arrival, Id, Member, Outcome, Remark, Standing, Tier};
 use chalkhall_cells::limits::{Allowed, Tenants, Verdict};
 use chalkhall_cells::map::{Cell, Map, Members, Told, What};
-use chalkhall_cells::moves::{Move, State};
+use chalkhall_cells::moves::Move;
 use chalkhall_directives::{Bound, CellMembers, Cells as Wishes};
+use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
@@ -118,8 +120,8 @@
         Ok(Some(Confined { map, moves, settle, members, tenants, by_customer, location }))
     }
 
-    /// Takes over another map; a move that both tell goes on from where it stands. None: it is older than the one in
-    /// force.
+    /// Takes over another map; a move that both tell goes on from where it stands. None: it is older than the
+    /// one in force.
     pub fn renew(&mut self, now: Duration, plan: Plan) -> Option<Vec<Member>> {
         if plan.epoch() < self.map.epoch() {
             return None;
@@ -223,17 +225,18 @@
         }
     }
 
-    /// Of each move: what moves, from and to which cell, its state and share.
-    pub fn moves(&self) -> impl Iterator<Item = (String, &str, &str, State, f64)> {
-        self.moves.iter().map(|(what, moved)| {
+    /// The map in force and where its moves stand, for operators.
+    pub fn report(&self) -> Value {
+        let servers = |of: Vec<Id>| of.iter().map(|s| s.to_string()).collect::<Vec<_>>();
+        let cells = self.map.report().into_iter();
+        let cells = cells.map(|(name, of)| json!({"cell": name, "servers": servers(of)}));
+        let moves = self.moves.iter().map(|(what, moved)| {
             let (from, to) = (self.map.name(moved.from), self.map.name(moved.to));
-            (format!("{what:?}"), from, to, moved.state(), moved.share())
-        })
-    }
-
-    /// The map in force, for operators.
-    pub fn map(&self) -> &Map {
-        &self.map
+            let (what, state) = (format!("{what:?}"), format!("{:?}", moved.state()));
+            json!({"what": what, "from": from, "to": to, "state": state, "share": moved.share()})
+        });
+        let (cells, moves) = (cells.collect::<Vec<_>>(), moves.collect::<Vec<_>>());
+        json!({"epoch": self.map.epoch(), "cells": cells, "moves": moves})
     }
 
     fn tenant(&self, arrival: &Arrival) -> [u8; 8] {
--- a/crates/router/src/control_socket.rs
+++ b/crates/router/src/control_socket.rs
@@ -1,4 +1,5 @@
-//! The control socket: one line of words in, one JSON object out, for `chalkhall`'s commands against a live router.
+//! The control socket: one line of words in, one JSON object out, for `chalkhall`'s commands against a live
+//! router.
 
 use crate::decider::Message;
 use serde_json::{Value, json};
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -28,12 +28,13 @@
 
 /// Orders on their way to a server's actor, which takes them at once; more are reported never sent.
 const ORDERS_MOST: usize = 1024;
-/// What an execution brings into memory is expected as lately: at first an object's bytes at most, then moving
-/// by this share towards each that came.
+/// What an execution brings into memory is expected as lately: at first an object's bytes at most, then
+/// moving by this share towards each that came.
 const OBJECT_MOST: f64 = 240_000.0;
 const OBJECT_MOVES: f64 = 1.0 / 64.0;
 const CONNECTIONS_MOST: usize = 8;
-/// The decider looks up this often at least; where it comes later than that by so much, the program was held up.
+/// The decider looks up this often at least; where it comes later than that by so much, the program was held
+/// up.
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 const PAUSE: Duration = Duration::from_millis(50);
 /// Turns of all tasks within which what lies in the sockets has come from link to server to the decider.
@@ -127,8 +128,8 @@
     accesses: HashMap<Id, Taken>,
     posts: HashMap<Id, Post>,
     timers: BinaryHeap<Reverse<(Duration, u64)>>,
-    /// Executions that ended here: not handed on, or answered from an own copy; and accesses to be forgotten when
-    /// all is back.
+    /// Executions that ended here: not handed on, or answered from an own copy; and accesses to be forgotten
+    /// when all is back.
     ends: VecDeque<Ended>,
     answered: Vec<Id>,
     own: Option<Own>,
@@ -136,7 +137,8 @@
     brought: Option<(Id, Box<Answer>)>,
     /// A first byte leaves this soon after its decision, or not at all.
     leave_within: Duration,
-    /// Bytes of bodies on their way to clients, executions that may bring more, and how much each is likely to.
+    /// Bytes of bodies on their way to clients, executions that may bring more, and how much each is likely
+    /// to.
     in_hand: usize,
     out: usize,
     object: f64,
@@ -301,8 +303,9 @@
         }
     }
 
-    /// What the notice board tells goes before all else: after a pause of the whole program, as on a machine that
-    /// others share, a drain or a purge may wait unread for longer than its grace, behind accesses and timers.
+    /// What the notice board tells goes before all else: after a pause of the whole program, as on a machine
+    /// that others share, a drain or a purge may wait unread for longer than its grace, behind accesses and
+    /// timers.
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<Message>, mut notices: mpsc::Receiver<Notice>) {
         let mut due_at = self.desk.now;
         loop {
@@ -331,8 +334,8 @@
             };
             let mut waiting = VecDeque::from([message]);
             if self.desk.clock.now() >= self.desk.now + LOOK_EVERY + PAUSE {
-                // The other tasks have their turns first: the board's, and those of the links, lest answers that
-                // came during the pause pass for silence of their servers. No more can come than is out.
+                // The other tasks have their turns first: the board's, and those of the links, lest answers
+                // that came during the pause pass for silence of their servers. No more can come than is out.
                 for _ in 0..HOPS {
                     yield_now().await;
                     while let Ok(message) = mailbox.try_recv() {
@@ -510,17 +513,10 @@
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
         match (words.as_slice(), &self.desk.own) {
             (["store", "stat"], Some(own)) => own.report(),
-            (["cells", "stat"], _) => self.confined.as_ref().map_or_else(
-                || json!({"error": "there are no cells"}),
-                |confined| {
-                    let cells = confined.map().report().into_iter();
-                    let cells = cells.map(|(name, of)| json!({"cell": name, "servers": of.iter().map(|s| s.to_string()).collect::<Vec<_>>()}));
-                    let moves = confined.moves().map(|(what, from, to, state, share)| {
-                        json!({"what": what, "from": from, "to": to, "state": format!("{state:?}"), "share": share})
-                    });
-                    json!({"epoch": confined.epoch(), "cells": cells.collect::<Vec<_>>(), "moves": moves.collect::<Vec<_>>()})
-                },
-            ),
+            (["cells", "stat"], _) => match &self.confined {
+                Some(confined) => confined.report(),
+                None => json!({"error": "there are no cells"}),
+            },
             (["store", "stat"], None) => {
                 json!({"error": "no own copies are kept: neither memory nor disk is set"})
             }
@@ -565,7 +561,8 @@
                         self.router.list(now, ListKind::Changes, &moved, &mut self.desk);
                     }
                     None => {
-                        log::warn!(epoch = epoch, in_force = confined.epoch(); "cells: an older map is not taken")
+                        let in_force = confined.epoch();
+                        log::warn!(epoch = epoch, in_force = in_force; "cells: an older map is not taken");
                     }
                 }
             }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -42,7 +42,8 @@
 /// Events of the notice board, which go before them; the board is read no further meanwhile.
 const NOTICES_MOST: usize = 64;
 
-/// Runs a router until it has ended, told by its environment and an operator's file, which is read anew with it.
+/// Runs a router until it has ended, told by its environment and an operator's file, which is read anew with
+/// it.
 ///
 /// # Errors
 /// One line that names the key at fault, where it could not start; or what ended it before its time.
@@ -134,7 +135,8 @@
     }
 }
 
-/// What is read anew at each SIGHUP, and to whom it goes. Of a configuration or a file that is faulty nothing counts.
+/// What is read anew at each SIGHUP, and to whom it goes. Of a configuration or a file that is faulty nothing
+/// counts.
 struct Again {
     told: Told,
     file: Option<PathBuf>,
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -1,7 +1,7 @@
 //! One connection to a server: writes requests, reads answers, watches the time of each execution.
 //!
-//! An execution waits unwritten until the connection stands and all before it has gone to the system; only from
-//! its first byte on may it have run. Each ends in one `Report::Ended`.
+//! An execution waits unwritten until the connection stands and all before it has gone to the system; only
+//! from its first byte on may it have run. Each ends in one `Report::Ended`.
 
 use crate::lines::{Answer, Answers, Passed, quit};
 use crate::server::{Order, Report};
@@ -85,8 +85,8 @@
         }
     }
 
-    /// Gives up one that may have run. Where nothing was heard since it went out, for as long as a new connection
-    /// may take to come up, this one may be dead.
+    /// Gives up one that may have run. Where nothing was heard since it went out, for as long as a new
+    /// connection may take to come up, this one may be dead.
     fn abandon(&mut self, id: Bytes, outcome: Outcome) {
         let Some(out) = self.out.remove(&id) else { return };
         let silent = self.heard.is_none_or(|heard| heard < out.sent) && out.sent.elapsed() >= self.patience;
@@ -210,7 +210,8 @@
             state.fill(now);
             self.tell(state).await;
             let due = state.next_due();
-            // One that stops short holds up all behind it, and one that nobody wants any more may trickle for ever.
+            // One that stops short holds up all behind it, and one that nobody wants any more may trickle for
+            // ever.
             let wanted = answers.coming().is_some_and(|id| state.out.contains_key(id));
             let last = if wanted { state.heard } else { begun };
             let stops = begun.and(last).map(|last| last + self.connect_timeout);
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -1,4 +1,5 @@
-//! Takes clients' connections, gives their places to those who ask, and waits for the last answers at the end.
+//! Takes clients' connections, gives their places to those who ask, and waits for the last answers at the
+//! end.
 
 use crate::brief::Brief;
 use crate::client::{Client, Door};
@@ -32,14 +33,16 @@
     socket.listen(WAITING_TO_BE_TAKEN)
 }
 
-/// A client's place: through it the client says whether it has anything open, and hears that another needs it.
+/// A client's place: through it the client says whether it has anything open, and hears that another needs
+/// it.
 pub struct Place {
     pub number: u64,
     pub leave: mpsc::Receiver<()>,
     pub says: mpsc::Sender<Word>,
 }
 
-/// What a client says of itself when it changes: nothing is open, or something; it has asked for something once.
+/// What a client says of itself when it changes: nothing is open, or something; it has asked for something
+/// once.
 #[derive(Clone, Copy, Debug)]
 pub struct Word {
     pub number: u64,
@@ -96,8 +99,8 @@
         self.leaving -= usize::from(left.is_some_and(|held| held.leaving));
     }
 
-    /// Asks one to leave: who never asked, but for the newest, whose first message may be on its way; else who has
-    /// had nothing open for longest. One that has asked for something meanwhile is answered first.
+    /// Asks one to leave: who never asked, but for the newest, whose first message may be on its way; else
+    /// who has had nothing open for longest. One that has asked for something meanwhile is answered first.
     fn make_room(&mut self) {
         let [silent, rested] = &mut self.idle;
         let kind = if silent.len() > NEWEST || rested.is_empty() { silent } else { rested };
--- a/crates/router/src/logs.rs
+++ b/crates/router/src/logs.rs
@@ -1,4 +1,5 @@
-//! Where log lines go and how they look: one event a line, with fields, as text or as JSON, on standard error.
+//! Where log lines go and how they look: one event a line, with fields, as text or as JSON, on standard
+//! error.
 
 use chalkhall_directives::{Log, LogFormat};
 use structured_logger::json::new_writer;
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -6,8 +6,8 @@
 
 /// One chalkhall router on real sockets.
 ///
-/// It is told by the environment: ROUTER_CONFIG is the path of a JSON file; ROUTER_NAME and ROUTER_LISTEN go before
-/// its `name` and `listen`. SIGTERM drains and ends it, SIGHUP reads the file anew.
+/// It is told by the environment: ROUTER_CONFIG is the path of a JSON file; ROUTER_NAME and ROUTER_LISTEN go
+/// before its `name` and `listen`. SIGTERM drains and ends it, SIGHUP reads the file anew.
 ///
 /// Exit codes: 0 after SIGTERM; 1 where it could not start, with one line that names what is at fault; 2 for
 /// arguments that make no sense.
--- a/crates/router/src/own.rs
+++ b/crates/router/src/own.rs
@@ -1,5 +1,5 @@
-//! The router's own copies, as the desk asks for them: names, clocks, bounds and threads between the store and the
-//! decisions.
+//! The router's own copies, as the desk asks for them: names, clocks, bounds and threads between the store
+//! and the decisions.
 
 use crate::clock::Clock;
 use crate::lines::{Answer, Passed};
@@ -20,8 +20,8 @@
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// What the router takes beside bodies and own copies, and what of the rest they may fill together: an allocator
-/// needs some room of its own.
+/// What the router takes beside bodies and own copies, and what of the rest they may fill together: an
+/// allocator needs some room of its own.
 const BESIDE: u64 = 8 << 20;
 const USABLE: f64 = 0.75;
 /// How the places are called; no listed server's name begins with a colon.
@@ -188,7 +188,8 @@
     pub fn keep(&mut self, arrival: &Arrival, answer: &Answer, rank: u8) {
         let Some(made) = answer.made.filter(|made| *made > 0) else { return };
         let Some((category, told)) = self.categories.get(arrival.category) else { return };
-        // Texts and bodies are parts of larger buffers as they came: kept as they are, they would keep all of those.
+        // Texts and bodies are parts of larger buffers as they came: kept as they are, they would keep all of
+        // those.
         let own = |bytes: &[u8]| Bytes::copy_from_slice(bytes);
         let copy = Copy {
             object: own(arrival.object.as_bytes()),
@@ -304,7 +305,8 @@
     let mut told = json!({
         "memory": {
             "bytes": memory.bytes(), "most": memory.most(), "parts": memory.len(), "hits": counts.hits,
-            "hit_bytes": counts.hit_bytes, "kept": counts.kept, "not_kept": counts.not_kept, "left": counts.left,
+            "hit_bytes": counts.hit_bytes, "kept": counts.kept, "not_kept": counts.not_kept,
+            "left": counts.left,
             "gave_way": counts.gave_way, "outdated": counts.outdated, "purges": counts.purges,
         }
     });
@@ -318,11 +320,13 @@
     };
     told["disk"] = json!({
         "phase": phase, "set_aside": disk.is_set_aside(), "parts": disk.index().len(),
-        "index_bytes": disk.index().bytes(), "segments": disk.segments().len(), "segments_most": disk.segments().most,
+        "index_bytes": disk.index().bytes(), "segments": disk.segments().len(),
+        "segments_most": disk.segments().most,
         "bytes": bytes, "live_bytes": live, "hits": counts.hits, "hit_bytes": counts.hit_bytes,
         "written": counts.written, "carried": counts.carried, "admitted_bytes": counts.admitted_bytes,
         "written_bytes": counts.written_bytes, "reclaimed": counts.reclaimed, "recovered": counts.recovered,
-        "unproven": counts.unproven, "revalidated": counts.revalidated, "dropped_unproven": counts.dropped_unproven,
+        "unproven": counts.unproven, "revalidated": counts.revalidated,
+        "dropped_unproven": counts.dropped_unproven,
         "unknown": counts.unknown, "damaged": counts.damaged, "torn_bytes": counts.torn_bytes,
         "foreign": counts.foreign, "read_ahead": counts.read_ahead, "scrubbed": counts.scrubbed,
         "refused": {
@@ -332,7 +336,8 @@
         "faults": {"reads": counts.read_faults, "writes": counts.write_faults, "syncs": counts.sync_faults},
     });
     let work = disk.work().map(|(name, waiting, out, done)| {
-        let told = json!({"waiting": waiting, "under_way": out, "done": done.pieces, "bytes": done.bytes as u64,
+        let told = json!({"waiting": waiting, "under_way": out, "done": done.pieces,
+            "bytes": done.bytes as u64,
             "late": done.late, "starved": done.starved, "refused": done.refused});
         (name.to_owned(), told)
     });
--- a/crates/router/src/resp.rs
+++ b/crates/router/src/resp.rs
@@ -2,8 +2,9 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 
-/// The parts of the protocol's longest array, and the longest that each may be: verb, tag, category, fields, and
-/// a body, of which a write brings up to 48,000 bytes. What is longer is nonsense, refused before it takes memory.
+/// The parts of the protocol's longest array, and the longest that each may be: verb, tag, category, fields,
+/// and a body, of which a write brings up to 48,000 bytes. What is longer is nonsense, refused before it
+/// takes memory.
 const PARTS_MOST: [usize; 5] = [16, 20, 64, 1_024, 64_000];
 /// The digits of a length, with room for leading zeros.
 const DIGITS_MOST: usize = 12;
@@ -11,8 +12,8 @@
 #[derive(Debug, PartialEq, Eq)]
 pub struct Nonsense(pub &'static str);
 
-/// Takes frames from a stream that may be split anywhere. What has been read of an unfinished frame is kept, so
-/// that a long one is not walked through again with every piece that comes.
+/// Takes frames from a stream that may be split anywhere. What has been read of an unfinished frame is kept,
+/// so that a long one is not walked through again with every piece that comes.
 #[derive(Default)]
 pub struct Frames {
     parts: Vec<Bytes>,
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -13,8 +13,9 @@
 
 /// A second connection is opened where the least busy one carries this many.
 const SHARED_FROM: usize = 4;
-/// What must not run twice goes on a connection that was in use this lately, or on a new one: a server may have let
-/// go of one that stands idle, long before it should, and says so only when a request has been written.
+/// What must not run twice goes on a connection that was in use this lately, or on a new one: a server may
+/// have let go of one that stands idle, long before it should, and says so only when a request has been
+/// written.
 const FRESH: Duration = Duration::from_millis(50);
 /// Orders waiting for one connection; more are reported never sent.
 const ORDERS_MOST: usize = 256;
@@ -47,7 +48,8 @@
     /// Takes nothing new: it fell silent, or stands idle, or leads elsewhere.
     retired: bool,
     used: Instant,
-    /// An answer to one of these that crossed its QUIT, or a second copy, would pass for that to a later execution.
+    /// An answer to one of these that crossed its QUIT, or a second copy, would pass for that to a later
+    /// execution.
     old: VecDeque<Id>,
 }
 
--- a/crates/router/tests/program/stand_ins/mod.rs
+++ b/crates/router/tests/program/stand_ins/mod.rs
@@ -1,5 +1,5 @@
-//! Stand-ins for what a router talks to, over loopback: a client, a server (cache server, parent or origin) and
-//! the notice board; and the program itself. Every wait ends with what it waits for, or fails the test.
+//! Stand-ins for what a router talks to, over loopback: a client, a server (cache server, parent or origin)
+//! and the notice board; and the program itself. Every wait ends with what it waits for, or fails the test.
 
 use serde_json::{Value, json};
 use std::collections::HashMap;
@@ -19,8 +19,8 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
 
-/// A loopback address that nobody else is given, and nobody listens at. One that had been listened at would not do:
-/// a process that another test is just starting may hold the listener open for a moment more.
+/// A loopback address that nobody else is given, and nobody listens at. One that had been listened at would
+/// not do: a process that another test is just starting may hold the listener open for a moment more.
 pub fn address() -> SocketAddr {
     static LAST: AtomicU32 = AtomicU32::new(0);
     let (n, process) = (LAST.fetch_add(1, Ordering::Relaxed), std::process::id());
--- a/crates/store/examples/catalogues.rs
+++ b/crates/store/examples/catalogues.rs
@@ -1,7 +1,9 @@
-//! Ways to remember where each part lies, measured beside one another: an index in memory that is rebuilt from the
-//! segments' footers, and two embedded stores. `cargo run --release -p chalkhall-store --example catalogues [PARTS]`
+//! Ways to remember where each part lies, measured beside one another: an index in memory that is rebuilt
+//! from the segments' footers, and two embedded stores. `cargo run --release -p chalkhall-store --example
+//! catalogues [PARTS]`
 //!
-//! Parts come in batches of 64, as many as a sync of 8 MB holds at 128 KB each; each batch is durable before the next.
+//! Parts come in batches of 64, as many as a sync of 8 MB holds at 128 KB each; each batch is durable before
+//! the next.
 
 use chalkhall_store::decide::index::{Index, Spot};
 use chalkhall_store::format::{Entry, footer, read_footer};
--- a/crates/store/src/decide/admission.rs
+++ b/crates/store/src/decide/admission.rs
@@ -1,8 +1,8 @@
 //! What is worth a write: disks wear out, and a write takes time from reads.
 //!
-//! A copy comes here with the rank that its sightings gave it. Two budgets, a second's and a day's, are spent on the
-//! best: the emptier the purse, the higher the rank it takes. What expires before it is likely to be read again is
-//! never written.
+//! A copy comes here with the rank that its sightings gave it. Two budgets, a second's and a day's, are spent
+//! on the best: the emptier the purse, the higher the rank it takes. What expires before it is likely to be
+//! read again is never written.
 
 use std::time::Duration;
 
@@ -71,8 +71,8 @@
         Ok(())
     }
 
-    /// May a record be carried over from a segment that is reclaimed? No more than this share of what is admitted:
-    /// that bounds how often a byte is written over its life.
+    /// May a record be carried over from a segment that is reclaimed? No more than this share of what is
+    /// admitted: that bounds how often a byte is written over its life.
     pub fn carries(&mut self, now: Duration, bytes: usize, share: f64) -> bool {
         self.fill(now);
         let allowed = (self.carried + bytes as u64) as f64 <= share * self.admitted as f64;
--- a/crates/store/src/decide/disk/mod.rs
+++ b/crates/store/src/decide/disk/mod.rs
@@ -1,9 +1,11 @@
-//! The disk tier: what is written, where, what is reclaimed, and what may be served of what an earlier life left.
+//! The disk tier: what is written, where, what is reclaimed, and what may be served of what an earlier life
+//! left.
 //!
-//! Orders go out through `Outlet` and are carried out elsewhere, in their order for one segment; how each ended comes
-//! back by a call. Nothing here waits. A copy on disk is served only if all of this holds: its record proves whole at
-//! the very place that the index names, it is of the part that was asked for, it was made after the last purge that
-//! concerns it, and, where it is from before this start, no purge can have been missed since it was written.
+//! Orders go out through `Outlet` and are carried out elsewhere, in their order for one segment; how each
+//! ended comes back by a call. Nothing here waits. A copy on disk is served only if all of this holds: its
+//! record proves whole at the very place that the index names, it is of the part that was asked for, it was
+//! made after the last purge that concerns it, and, where it is from before this start, no purge can have
+//! been missed since it was written.
 
 mod marks;
 mod reclaim;
@@ -151,7 +153,8 @@
     fn mark(&mut self, lines: Vec<Line>) -> bool;
     /// What became of a read that `Store::fetch` asked for.
     fn fetched(&mut self, _ticket: u64, _fetched: Fetched) {}
-    /// Asks the source of this copy whether it still holds; ends in `Store::proven`, `Store::keep` or not at all.
+    /// Asks the source of this copy whether it still holds; ends in `Store::proven`, `Store::keep` or not at
+    /// all.
     fn revalidate(&mut self, _copy: &Copy) {}
     /// This copy outlives a crash from now on.
     fn outlives(&mut self, _key: Key, _made: u64) {}
@@ -275,7 +278,8 @@
     reclaim: Option<Reclaim>,
     to_recover: VecDeque<u32>,
     recovering: usize,
-    /// Purges before this are told by what is known at the start; up to when the board was heard in earlier lives.
+    /// Purges before this are told by what is known at the start; up to when the board was heard in earlier
+    /// lives.
     known_since: u64,
     heard_before: Option<u64>,
     clock_went_back: bool,
@@ -302,7 +306,8 @@
         let s = Duration::from_secs;
         let kind = |name, priority| Kind { name, priority, ..Kind::default() };
         let at_once = |n, kind: Kind| Kind { at_once: n, ..kind };
-        // A demotion that waits holds memory, a reclaim that waits holds up writes: both go soon, also under load.
+        // A demotion that waits holds memory, a reclaim that waits holds up writes: both go soon, also under
+        // load.
         let reclaim = Kind { deadline: s(1), starves: s(5), ..at_once(1, kind("reclaim", 3)) };
         let demote = Kind { deadline: s(2), starves: s(10), ..kind("demote", 2) };
         let revalidate = Kind {
--- a/crates/store/src/decide/disk/reclaim.rs
+++ b/crates/store/src/decide/disk/reclaim.rs
@@ -13,8 +13,8 @@
         self.reclaim = Some(Reclaim { segment, todo, open: 1, into, removing: false });
     }
 
-    /// What the segment that is reclaimed lists. The best of what is still wanted is carried over, within a share of
-    /// what is admitted; the rest goes with it.
+    /// What the segment that is reclaimed lists. The best of what is still wanted is carried over, within a
+    /// share of what is admitted; the rest goes with it.
     pub fn listed(
         &mut self,
         now: Duration,
@@ -90,7 +90,8 @@
         self.reclaim_on(now, out);
     }
 
-    /// Goes on with the reclaim: reads what is carried over, syncs it where it is now, then removes the segment.
+    /// Goes on with the reclaim: reads what is carried over, syncs it where it is now, then removes the
+    /// segment.
     pub(super) fn reclaim_on(&mut self, now: Duration, out: &mut dyn Outlet) {
         let Some(mut reclaim) = self.reclaim.take() else { return };
         while reclaim.open < CARRYING_MOST {
--- a/crates/store/src/decide/disk/serve.rs
+++ b/crates/store/src/decide/disk/serve.rs
@@ -136,8 +136,8 @@
         self.index.change(key, |spot| spot.rank = rank);
     }
 
-    /// A part was asked for; where that is in turn, those after it are read ahead, as far as they are here and not in
-    /// memory already.
+    /// A part was asked for; where that is in turn, those after it are read ahead, as far as they are here
+    /// and not in memory already.
     pub fn sighted(&mut self, now: Duration, object: Key, part: u64) {
         if self.wanted.read_ahead == 0 {
             return;
--- a/crates/store/src/decide/disk/write.rs
+++ b/crates/store/src/decide/disk/write.rs
@@ -254,8 +254,8 @@
             }
             return;
         }
-        // Once a sync has failed, another one that succeeds proves nothing of what was written before it. All that was
-        // not synced is let go of, and the segment goes first.
+        // Once a sync has failed, another one that succeeds proves nothing of what was written before it. All
+        // that was not synced is let go of, and the segment goes first.
         self.counts.sync_faults += 1;
         let lost: Vec<Entry> = entries.iter().filter(|e| e.at >= before).copied().collect();
         (unsynced.bytes, unsynced.since) = (0, None);
--- a/crates/store/src/decide/index.rs
+++ b/crates/store/src/decide/index.rs
@@ -1,8 +1,8 @@
 //! Where each part lies on disk: a table in memory of 32 bytes a part and little more.
 //!
-//! Linear hashing (Litwin, "Linear hashing: a new tool for file and table addressing", VLDB 1980): buckets are split
-//! one by one as parts come, so the table never doubles at once, neither in bytes nor in time. A bucket is a row of
-//! entries with hardly any room to spare.
+//! Linear hashing (Litwin, "Linear hashing: a new tool for file and table addressing", VLDB 1980): buckets
+//! are split one by one as parts come, so the table never doubles at once, neither in bytes nor in time. A
+//! bucket is a row of entries with hardly any room to spare.
 
 use crate::key::Key;
 
--- a/crates/store/src/decide/memory.rs
+++ b/crates/store/src/decide/memory.rs
@@ -7,10 +7,12 @@
 
 /// Ranks are 1 to 3; 3 stays longest.
 pub const RANKS: usize = 3;
-/// What an entry takes beside its texts and body: itself, its node, its share of the table, what the allocator adds.
+/// What an entry takes beside its texts and body: itself, its node, its share of the table, what the
+/// allocator adds.
 const ENTRY: u64 = 368;
 
-/// Leaves lowest rank first, within a rank what was used longest ago; a new copy never pushes out a higher rank.
+/// Leaves lowest rank first, within a rank what was used longest ago; a new copy never pushes out a higher
+/// rank.
 pub struct Memory {
     /// Bytes that may be held at the most; 0: nothing is.
     most: u64,
--- a/crates/store/src/decide/mod.rs
+++ b/crates/store/src/decide/mod.rs
@@ -25,7 +25,8 @@
     Disk,
 }
 
-/// An own copy that may be served: where it is, when it was made (Unix milliseconds), whether the asker has it.
+/// An own copy that may be served: where it is, when it was made (Unix milliseconds), whether the asker has
+/// it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Found {
     pub place: Place,
@@ -119,7 +120,8 @@
         Some(copy)
     }
 
-    /// Reads the copy on disk for an answer, which comes through `Outlet::fetched`. None: the disk does not take it.
+    /// Reads the copy on disk for an answer, which comes through `Outlet::fetched`. None: the disk does not
+    /// take it.
     pub fn fetch(&mut self, now: Duration, part: Part, out: &mut dyn Outlet) -> Option<u64> {
         let (object, key) = part.keys();
         let disk = self.disk.as_mut()?;
@@ -155,7 +157,8 @@
                 return self.rank(Part { object: &copy.object, part: copy.part, group: copy.group }, rank);
             }
             if tag != tag_sum(&copy.tag) && copy.in_parts {
-                // The object has changed: of its other parts, what was made before belongs to the older version.
+                // The object has changed: of its other parts, what was made before belongs to the older
+                // version.
                 let marks = self.purges.object(object, copy.made.saturating_sub(1));
                 self.mark(marks, out);
             }
@@ -213,8 +216,8 @@
         }
     }
 
-    /// Gives way in memory until no more than so many bytes are held there. What leaves is not offered to the disk: it
-    /// would take memory again while it waits.
+    /// Gives way in memory until no more than so many bytes are held there. What leaves is not offered to the
+    /// disk: it would take memory again while it waits.
     pub fn give_way(&mut self, to: u64) {
         let gave_way = &mut self.counts.gave_way;
         self.memory.shrink(to, &mut |_, _| *gave_way += 1);
--- a/crates/store/src/decide/purges.rs
+++ b/crates/store/src/decide/purges.rs
@@ -1,7 +1,7 @@
 //! What was purged, and when: for ever, in bounded memory.
 //!
-//! The latest purges of single objects stand one by one. Older ones are folded into a table by hash, where a purge
-//! takes along whatever falls into its slot: a copy too many is dropped, never one too few kept.
+//! The latest purges of single objects stand one by one. Older ones are folded into a table by hash, where a
+//! purge takes along whatever falls into its slot: a copy too many is dropped, never one too few kept.
 
 use crate::key::{self, Key};
 use lru::LruCache;
--- a/crates/store/src/decide/segments.rs
+++ b/crates/store/src/decide/segments.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// Records of like size lie together: a row of large ones that nobody asks for again fills segments of its own, and
-/// goes with them.
+/// Records of like size lie together: a row of large ones that nobody asks for again fills segments of its
+/// own, and goes with them.
 pub const CLASSES: usize = 4;
 const CLASS_ENDS: [usize; CLASSES - 1] = [8 << 10, 32 << 10, 128 << 10];
 /// What a segment is worth halves with each such span since it was last read from or written to.
@@ -45,15 +45,16 @@
         self.live
     }
 
-    /// What a byte of it is worth keeping. Ranks do not count here: they have decided what was written, and decide what
-    /// is carried over. Counted once more they cost bytes (docs/store.md).
+    /// What a byte of it is worth keeping. Ranks do not count here: they have decided what was written, and
+    /// decide what is carried over. Counted once more they cost bytes (docs/store.md).
     fn worth(&self, now: Duration) -> f64 {
         let idle = now.saturating_sub(self.used).as_secs_f64() / FADES.as_secs_f64();
         self.live as f64 / f64::from(self.end.max(1)) * (-idle).exp2()
     }
 }
 
-/// All segments of a store, by number. Numbers only go up: bytes of an earlier segment never pass for a later one's.
+/// All segments of a store, by number. Numbers only go up: bytes of an earlier segment never pass for a later
+/// one's.
 pub struct Segments {
     all: BTreeMap<u32, Segment>,
     open: [Option<u32>; CLASSES],
--- a/crates/store/src/files/mod.rs
+++ b/crates/store/src/files/mod.rs
@@ -1,5 +1,5 @@
-//! The file layer: what a store needs of a directory, and how the system gives it. Everything here may block, and
-//! runs on threads of its own.
+//! The file layer: what a store needs of a directory, and how the system gives it. Everything here may block,
+//! and runs on threads of its own.
 
 mod real;
 
@@ -11,7 +11,8 @@
 /// A directory of flat files.
 pub trait Files: Send + Sync + 'static {
     fn list(&self) -> io::Result<Vec<String>>;
-    /// Makes a file that must not be there yet. It is there after a crash only once `sync_names` has returned.
+    /// Makes a file that must not be there yet. It is there after a crash only once `sync_names` has
+    /// returned.
     fn create(&self, name: &str) -> io::Result<Arc<dyn File>>;
     fn open(&self, name: &str) -> io::Result<Arc<dyn File>>;
     fn remove(&self, name: &str) -> io::Result<()>;
@@ -20,8 +21,8 @@
     fn sync_names(&self) -> io::Result<()>;
 }
 
-/// An open file. What was written is there after a crash only once `sync` has returned without an error; after an
-/// error nothing may be said of it.
+/// An open file. What was written is there after a crash only once `sync` has returned without an error;
+/// after an error nothing may be said of it.
 pub trait File: Send + Sync + 'static {
     fn length(&self) -> io::Result<u64>;
     /// Reads up to the buffer's length; less only at the end of the file.
--- a/crates/store/src/format.rs
+++ b/crates/store/src/format.rs
@@ -1,8 +1,8 @@
 //! Segments and records as they lie on disk. Pure: bytes in, bytes out; nothing read is trusted.
 //!
-//! A segment is a head, records one after the other, and, once sealed, a footer that lists them. All numbers are
-//! little-endian; records and footer begin at multiples of 8. Each checksum starts from the store's number, the
-//! segment's and the place in it, so bytes that belong elsewhere never pass.
+//! A segment is a head, records one after the other, and, once sealed, a footer that lists them. All numbers
+//! are little-endian; records and footer begin at multiples of 8. Each checksum starts from the store's
+//! number, the segment's and the place in it, so bytes that belong elsewhere never pass.
 
 use crate::copy::Copy;
 use crate::decide::purges::group_slot;
@@ -220,7 +220,8 @@
     Ok((Copy { body, ..head.copy }, head.rank))
 }
 
-/// The next place at or after `from` where a record's mark stands: past damage, that is where reading goes on.
+/// The next place at or after `from` where a record's mark stands: past damage, that is where reading goes
+/// on.
 pub fn next_mark(bytes: &[u8], from: usize) -> Option<usize> {
     let from = from.next_multiple_of(8);
     (from..bytes.len().saturating_sub(3)).step_by(8).find(|at| &bytes[*at..*at + 4] == RECORD_MAGIC)
@@ -264,7 +265,8 @@
     out
 }
 
-/// Where the footer begins and how long it is, by the last bytes of a segment `length` long; none: not sealed.
+/// Where the footer begins and how long it is, by the last bytes of a segment `length` long; none: not
+/// sealed.
 pub fn footer_span(trailer: &[u8], length: u64) -> Option<(u32, usize)> {
     let trailer = trailer.get(..TRAILER).filter(|t| &t[..8] == FOOTER_MAGIC)?;
     let (at, count) = (u32_at(trailer, 8), u32_at(trailer, 12) as usize);
--- a/crates/store/src/key.rs
+++ b/crates/store/src/key.rs
@@ -1,5 +1,5 @@
-//! How parts and objects are known inside a store: by hash. What a hash leads to is checked by name before it is
-//! served, so two that meet cost a copy, or a purge too many, and no more.
+//! How parts and objects are known inside a store: by hash. What a hash leads to is checked by name before it
+//! is served, so two that meet cost a copy, or a purge too many, and no more.
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,8 +1,9 @@
 //! A router's own copies: in memory, and behind that on a disk that survives a crash.
 //!
-//! `decide` holds what is decided, without I/O: the same code runs in the router, in tests on a disk that crashes and in
-//! the proof. `format` says how things lie on disk, `recovery` what is left of them; `files` is the file layer, `hands`
-//! carries out orders on it, `threads` does so beside the router. `stand_ins` is a disk that fails as told.
+//! `decide` holds what is decided, without I/O: the same code runs in the router, in tests on a disk that
+//! crashes and in the proof. `format` says how things lie on disk, `recovery` what is left of them; `files`
+//! is the file layer, `hands` carries out orders on it, `threads` does so beside the router. `stand_ins` is a
+//! disk that fails as told.
 
 pub mod catalogue;
 pub mod copy;
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -1,5 +1,5 @@
-//! What a segment of an earlier life still holds: by its footer where it was sealed, else record by record. Nothing
-//! that is damaged, torn or of another place passes, and what can be read behind damage is found.
+//! What a segment of an earlier life still holds: by its footer where it was sealed, else record by record.
+//! Nothing that is damaged, torn or of another place passes, and what can be read behind damage is found.
 
 use crate::files::{File, read_exactly};
 use crate::format::{
@@ -70,7 +70,8 @@
     Ok(read_footer(&bytes, store, segment, at).ok())
 }
 
-/// Walks through records from the head on. Bodies are read too: without a footer nothing says that they came whole.
+/// Walks through records from the head on. Bodies are read too: without a footer nothing says that they came
+/// whole.
 fn walk(file: &dyn File, store: u64, segment: u32, length: u64, found: &mut Recovered) -> io::Result<()> {
     let (mut at, mut lost) = (SEGMENT_HEAD as u64, false);
     while at + RECORD_HEAD_LEAST as u64 <= length {
--- a/crates/store/src/stand_ins/crashes.rs
+++ b/crates/store/src/stand_ins/crashes.rs
@@ -1,7 +1,8 @@
 //! A day of a store that ends in a crash at a chosen operation of its disk, and what may be found after it.
 //!
-//! Checked from outside, by what the day knows: nothing that is answered is torn, of another part or older than a purge
-//! that was told; and what the store said outlives a crash is there, unless it was let go of, purged or replaced.
+//! Checked from outside, by what the day knows: nothing that is answered is torn, of another part or older
+//! than a purge that was told; and what the store said outlives a crash is there, unless it was let go of,
+//! purged or replaced.
 
 use super::{Disk, Driver, Faults, Piece, size_of};
 use crate::decide::Part;
@@ -136,7 +137,8 @@
     let died = driver.unix_ms();
     let durable = std::mem::take(&mut driver.orders.durable);
     drop(driver);
-    // The next life is told of purges some way back, or of none that is old; sometimes the clock was set back.
+    // The next life is told of purges some way back, or of none that is old; sometimes the clock was set
+    // back.
     let down = day.chance.u64(..20_000);
     let window = *day.chance.choice(&[500, 5_000, 30_000, 10_000_000]).unwrap_or(&0);
     let start = if day.chance.u8(..10) == 0 { died - day.chance.u64(1..60_000) } else { died + down };
--- a/crates/store/src/stand_ins/disk.rs
+++ b/crates/store/src/stand_ins/disk.rs
@@ -1,6 +1,6 @@
-//! A disk in memory that keeps what was synced, and of the rest, at a crash, whatever a real one might: any subset of
-//! the writes in any order, each of them torn at sectors; names made or removed but not synced, or not. It fails and
-//! hangs as told. One seed makes one run.
+//! A disk in memory that keeps what was synced, and of the rest, at a crash, whatever a real one might: any
+//! subset of the writes in any order, each of them torn at sectors; names made or removed but not synced, or
+//! not. It fails and hangs as told. One seed makes one run.
 
 use crate::files::{File, Files};
 use std::collections::BTreeMap;
@@ -35,7 +35,8 @@
     hung: bool,
 }
 
-/// What goes wrong, and when. Operations are counted from 1: creations, removals, writes, truncations and syncs.
+/// What goes wrong, and when. Operations are counted from 1: creations, removals, writes, truncations and
+/// syncs.
 #[derive(Clone, Debug, Default)]
 pub struct Faults {
     /// From this operation on the disk is gone: every call fails.
@@ -102,7 +103,8 @@
         let mut chance = fastrand::Rng::with_seed(seed);
         let state = self.state();
         let mut after = State::default();
-        // Each name that differs is as before or as after, by itself: one that was renamed may be at both or at none.
+        // Each name that differs is as before or as after, by itself: one that was renamed may be at both or
+        // at none.
         let mut names = state.durable_names.clone();
         let differ = |name: &&String| state.names.get(*name) != state.durable_names.get(*name);
         for name in state.names.keys().chain(state.durable_names.keys()).filter(differ) {
@@ -298,7 +300,8 @@
         let mut state = self.disk.awake();
         state.operate()?;
         if state.faults.syncs_fail {
-            // As real systems do: what could not be written is forgotten, and the next sync says that all is well.
+            // As real systems do: what could not be written is forgotten, and the next sync says that all is
+            // well.
             state.files[self.file].pending.clear();
             return Err(failed("sync failed"));
         }
--- a/crates/store/src/stand_ins/driver.rs
+++ b/crates/store/src/stand_ins/driver.rs
@@ -1,5 +1,5 @@
-//! A store with hands but no threads: orders wait in a row and are carried out one at a time, when told to. What the
-//! store says of its copies is written down, to be held against what is found.
+//! A store with hands but no threads: orders wait in a row and are carried out one at a time, when told to.
+//! What the store says of its copies is written down, to be held against what is found.
 
 use crate::catalogue::{Catalogue, Line};
 use crate::copy::Copy;
@@ -100,8 +100,8 @@
 }
 
 impl Driver {
-    /// Starts at this Unix millisecond. The directory is opened at once; what it holds is read as orders are carried
-    /// out.
+    /// Starts at this Unix millisecond. The directory is opened at once; what it holds is read as orders are
+    /// carried out.
     pub fn start(files: Arc<dyn Files>, memory: u64, wanted: Wanted, start_ms: u64) -> Driver {
         let now = Duration::from_secs(1000);
         let mut store = Store::new(memory, Some(Tier::new(wanted, now, start_ms)));
--- a/crates/store/src/threads.rs
+++ b/crates/store/src/threads.rs
@@ -1,5 +1,5 @@
-//! The threads that touch the disk, each behind a bounded mailbox. Whoever orders never waits for them: a mailbox that
-//! is full takes nothing, and a disk that hangs holds up its own threads alone.
+//! The threads that touch the disk, each behind a bounded mailbox. Whoever orders never waits for them: a
+//! mailbox that is full takes nothing, and a disk that hangs holds up its own threads alone.
 
 use crate::catalogue::{Catalogue, Known, Line};
 use crate::copy::Copy;
@@ -59,15 +59,16 @@
     next: usize,
 }
 
-/// Opens a directory on a thread of its own and starts the others once it is open. `take` gives the files, which may
-/// itself take a while. Every end comes through the receiver, the opening's first.
+/// Opens a directory on a thread of its own and starts the others once it is open. `take` gives the files,
+/// which may itself take a while. Every end comes through the receiver, the opening's first.
 pub fn start(
     take: impl FnOnce() -> Result<Arc<dyn Files>, String> + Send + 'static,
     store: u64,
     readers: usize,
 ) -> std::io::Result<(Threads, tokio::sync::mpsc::Receiver<End>)> {
     let (ends, receiver) = channel(ENDS_MOST);
-    // The threads wait for the files, each behind its mailbox, so that all orders can be given from the start.
+    // The threads wait for the files, each behind its mailbox, so that all orders can be given from the
+    // start.
     let (readers, reads): (Vec<_>, Vec<_>) = (0..readers.max(1)).map(|_| sync_channel(READS_MOST)).unzip();
     let (writer, writes) = sync_channel(WRITES_MOST);
     let (recoverer, recovers) = sync_channel(RECOVERS_MOST);
@@ -104,7 +105,8 @@
     Ok((Threads { readers, writer, recoverer, marker, next: 0 }, receiver))
 }
 
-/// Lets go of the files before it says, by dropping `ends`, that it has ended: the next may take them at once.
+/// Lets go of the files before it says, by dropping `ends`, that it has ended: the next may take them at
+/// once.
 fn work(jobs: Receiver<Job>, ends: Sender<End>, mut hands: Hands) {
     while let Ok(job) = jobs.recv() {
         let end = match job {
@@ -193,7 +195,8 @@
     pub fetched: Vec<(u64, Fetched)>,
     /// Copies whose source is to be asked, without their bodies.
     pub unproven: Vec<Copy>,
-    /// What outlives a crash from now on (and when it was made), or was let go of (none); kept only where wanted.
+    /// What outlives a crash from now on (and when it was made), or was let go of (none); kept only where
+    /// wanted.
     pub said: Option<Vec<(Key, Option<u64>)>>,
 }
 
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,6 +1,6 @@
-//! Every decision of a router. `Router::start` once, then one method for each thing that happens, each with the time
-//! since the start and the outlet through which the router acts (`interface.rs`). Every execution passes
-//! `Router::send`, where the rules are enforced, and leaves a closure for its result.
+//! Every decision of a router. `Router::start` once, then one method for each thing that happens, each with
+//! the time since the start and the outlet through which the router acts (`interface.rs`). Every execution
+//! passes `Router::send`, where the rules are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
 use chalkhall_structures::Recent;
@@ -14,7 +14,8 @@
 const SIGHTINGS_BEFORE_GATE: usize = 64;
 const SCORES_BEFORE_RANKS: usize = 256;
 const RECENT: usize = 1024;
-/// A member holding over this multiple of the others' average bytes, in more than a few transfers, is passed over.
+/// A member holding over this multiple of the others' average bytes, in more than a few transfers, is passed
+/// over.
 const CROWDED: f64 = 2.0;
 const FEW: u32 = 4;
 /// Sequential test of failing in half of all cases against one in twenty: what a failure and a success add to
@@ -179,8 +180,8 @@
     filling: bool,
 }
 
-/// Where an execution goes: a server, and the source of a fill with it; itself: no fill. To an own copy: when that
-/// was made, and for how long past its fresh time it will do.
+/// Where an execution goes: a server, and the source of a fill with it; itself: no fill. To an own copy: when
+/// that was made, and for how long past its fresh time it will do.
 #[derive(Clone)]
 struct Route {
     server: Id,
@@ -237,7 +238,8 @@
     last_mark: u64,
     purges: HashMap<Result<Id, u64>, Duration>,
     mean_work: Vec<(f64, f64)>,
-    /// Likely fills out, how many may be, the last cut; when one last ended, how many lately, and how many late.
+    /// Likely fills out, how many may be, the last cut; when one last ended, how many lately, and how many
+    /// late.
     fills_out: f64,
     fills_most: f64,
     fills_cut: Duration,
@@ -394,8 +396,8 @@
         self.categories[access.arrival.category].cacheable && route.source != route.server && !held
     }
 
-    /// Answers from an own copy, if its place is sound and this router's link has it out in time. `past`: so long
-    /// past its fresh time it will do.
+    /// Answers from an own copy, if its place is sound and this router's link has it out in time. `past`: so
+    /// long past its fresh time it will do.
     fn own(&mut self, turn: &mut Turn, id: &Id, past: Duration) -> bool {
         let Some(access) = self.accesses.get(id) else { return false };
         if self.own <= 0.0 || !self.categories[access.arrival.category].cacheable {
@@ -403,7 +405,8 @@
         }
         let Some(Held { place, made, same }) = turn.out.held(id) else { return false };
         let sound = self.servers.get(&place).is_some_and(|s| s.record.sound(turn.now));
-        // One answer runs at a client's pace at most, all share the link in turn; that a copy holds is soon said.
+        // One answer runs at a client's pace at most, all share the link in turn; that a copy holds is soon
+        // said.
         let work = if same { access.work / 20 } else { access.work };
         let free = self.link_free.max(turn.now) + work.div_f64(self.own.max(0.01));
         let latest = if past.is_zero() { access.soft.min(access.due) } else { access.due };
@@ -414,8 +417,8 @@
         sent
     }
 
-    /// Waits for the fill of the same part that is under way, which a second one would only crowd; once, and not
-    /// for longer than leaves time for one of its own: what it waits for may be lost.
+    /// Waits for the fill of the same part that is under way, which a second one would only crowd; once, and
+    /// not for longer than leaves time for one of its own: what it waits for may be lost.
     fn join(&mut self, turn: &mut Turn, id: &Id) -> bool {
         let Some(access) = self.accesses.get_mut(id) else { return false };
         let latest = access.soft.min(access.due).saturating_sub(OVERHEAD + access.work);
@@ -655,8 +658,9 @@
         true
     }
 
-    /// A server not heard of since is judged as silent, but not for one overdue fill. One that answered others is
-    /// slow: anew would double the load. After as long again its answer is lost, and would hold a fill's place.
+    /// A server not heard of since is judged as silent, but not for one overdue fill. One that answered
+    /// others is slow: anew would double the load. After as long again its answer is lost, and would hold a
+    /// fill's place.
     fn look_into(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration) {
         let Some(access) = self.accesses.get_mut(id).filter(|a| !a.ended) else { return };
         let Some(execution) = access.executions.get_mut(n).filter(|e| e.next.is_some()) else { return };
@@ -685,8 +689,8 @@
         let Some(access) = self.accesses.get_mut(id) else { return };
         let (kb, rank, work) = (access.arrival.kb, access.rank, access.work);
         let hit = ended.outcome == Honoured && matches!(ended.remark, Remark::Hit | Remark::Stale);
-        // A late fill is laid to an end by how seldom the best of its tier is late (a full link delays all), and to
-        // one cache at a time: with one set aside after the other, the last would have to bear it all.
+        // A late fill is laid to an end by how seldom the best of its tier is late (a full link delays all),
+        // and to one cache at a time: with one set aside after the other, the last would have to bear it all.
         let telling = [Tier::Cache, Tier::Parent].map(|tier| {
             let all = self.servers.iter().filter(|(_, s)| s.member.tier == tier);
             let others = all.clone().any(|(name, s)| s.record.is_aside() && *name != route.server);
@@ -759,7 +763,8 @@
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
         self.learn(turn.now, id, route, filling, turn.now > soft, ended);
         if filling {
-            // A server that is dead or set aside, or a broken connection, says nothing of what the links bear.
+            // A server that is dead or set aside, or a broken connection, says nothing of what the links
+            // bear.
             let dead = matches!(ended.outcome, Cancelled | Missing | Broken)
                 || ended.remark == Remark::SourceUnreached
                 || self.servers.get(&route.server).is_some_and(|s| s.record.is_aside());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -145,8 +145,8 @@
     Gone,
 }
 
-/// What a server is: a cache of a location, a parent of all locations, the origin, or this router's own copies in
-/// memory or on disk, of which the list never tells: who has such adds them.
+/// What a server is: a cache of a location, a parent of all locations, the origin, or this router's own
+/// copies in memory or on disk, of which the list never tells: who has such adds them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Tier {
     #[default]
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -14,8 +14,8 @@
 //!                                 rest, $X binds a word at first and stands for it afterwards
 //!   never PATTERN                 none      count PATTERN MIN MAX      so many
 //! A server's cells stand behind @, as in c1@0,2; an access's as cell=2.
-//! Servers are named by a letter and a number: c caches, p parents, o the origin, m own copies (m1 in memory, m2 on
-//! a disk), of a link that carries two answers. What they hold is set by
+//! Servers are named by a letter and a number: c caches, p parents, o the origin, m own copies (m1 in memory,
+//! m2 on a disk), of a link that carries two answers. What they hold is set by
 //!   own m1 object=X [part=0] [age=0] [same=0]      own gone object=X
 
 use chalkhall::control::Router;
