A few transfers are no crowd: few are counted over the routers that share a location

At fault: FEW in Router::pick, a figure for a router that has a location for itself. Change: the four are the location's; a router that shares it with R - 1 others counts 4/R of its own, and one at least, since with one transfer out there is nothing to compare.

Scenario sliver-crowd fails without.

--- a/src/control.rs
+++ b/src/control.rs
@@ -14,10 +14,10 @@
 const SIGHTINGS_BEFORE_GATE: usize = 64;
 const SCORES_BEFORE_RANKS: usize = 256;
 const RECENT: usize = 1024;
-/// A member holding over this multiple of the others' average bytes, in more than a few transfers, is passed
-/// over.
+/// A member holding over this multiple of the others' average bytes, in more than a few of the location's
+/// transfers, is passed over.
 const CROWDED: f64 = 2.0;
-const FEW: u32 = 4;
+const FEW: f64 = 4.0;
 /// Sequential test of failing in half of all cases against one in twenty: what a failure and a success add to
 /// the log odds that a server is broken, and where they decide (100 to 1).
 const FAILURE_ADDS: f64 = std::f64::consts::LN_10;
@@ -511,7 +511,8 @@
         // Of two, none ever holds over twice the average of both: the others' average counts.
         let (all, n) = (open.iter().map(|(_, s)| s.kb_under_way).sum::<f64>(), open.len() as f64);
         let others = |s: &Server| (all - s.kb_under_way) / (n - 1.0).max(1.0);
-        let crowded = |s: &Server| s.out > FEW && s.kb_under_way > CROWDED * others(s);
+        let few = (FEW / self.routers_here).max(1.0);
+        let crowded = |s: &Server| f64::from(s.out) > few && s.kb_under_way > CROWDED * others(s);
         let fit = |s: &&Server| !access.failed.contains(&s.member.server) && (any || s.record.sound(now));
         let mut left = open.iter().map(|(_, s)| *s).filter(fit);
         left.clone().find(|s| !crowded(s)).or(left.next())
