--- a/src/control.rs
+++ b/src/control.rs
@@ -497,9 +497,10 @@
     /// The first that the hash prefers, moving on when one fails, is full or is crowded; `any`: also one set
     /// aside. Each member draws its own number for an object: one that fails moves its own objects only.
     fn pick(&self, now: Duration, tier: Tier, any: bool, access: &Access) -> Option<&Server> {
+        let part = if tier == Tier::Parent { access.arrival.part } else { 0 };
         let draw = |s: &Server| {
-            let hash =
-                xxh3_64_with_seed(access.arrival.object.as_bytes(), xxh3_64(s.member.server.as_bytes()));
+            let seed = xxh3_64(s.member.server.as_bytes()).wrapping_add(part);
+            let hash = xxh3_64_with_seed(access.arrival.object.as_bytes(), seed);
             -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
         };
         let of_cell = |s: &Server| access.arrival.cell.is_none_or(|cell| s.member.cells.contains(&cell));
