A cold parent is warmed by a few routers drawn in turn, a trickle ends where it no longer binds

One in 297 routers' shares of a cold parent's budget is 0.005 to 0.1 s of sending; an access has 0.2 s on the mean.

At fault: may_take, whose share no access fits in; and Judged::judge, whose ramp takes seven successes, for a router that sends to that parent every six seconds most of a minute. Change: where the share is smaller than the access and what the parent bears is eight such or more, a router drawn by hash of parent, router and span may send one, with the chance that keeps the expected sum; a trickle is full where it comes as often as this router sends there anyway.

--- /dev/null
+++ b/crates/structures/src/window.rs
@@ -0,0 +1,65 @@
+//! What was noted within a span of time, and its sum.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Weights by when they were noted, in order of time. Each is looked at once when it comes and once when it
+/// goes, so that neither noting nor the sum grows with what lies within the span.
+#[derive(Clone, Debug, Default)]
+pub struct Window {
+    noted: VecDeque<(Duration, f64)>,
+    sum: f64,
+}
+
+impl Window {
+    /// Forgets what is a span old or older, and takes a weight in. Times must not fall.
+    pub fn note(&mut self, now: Duration, span: Duration, weight: f64) {
+        while let Some((_, gone)) = self.noted.front().filter(|(at, _)| *at + span <= now).copied() {
+            self.noted.pop_front();
+            self.sum -= gone;
+        }
+        // What is left of rounding goes with the last one.
+        self.sum = if self.noted.is_empty() { weight } else { self.sum + weight };
+        self.noted.push_back((now, weight));
+    }
+
+    /// The sum of what was noted less than a span ago.
+    pub fn sum(&self, now: Duration, span: Duration) -> f64 {
+        let old = self.noted.iter().take_while(|(at, _)| *at + span <= now);
+        (self.sum - old.map(|(_, weight)| weight).sum::<f64>()).max(0.0)
+    }
+
+    pub fn len(&self) -> usize {
+        self.noted.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.noted.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    proptest! {
+        #[test]
+        fn it_agrees_with_adding_up_all_that_ever_came(
+            steps in prop::collection::vec((0u64..400, 0.0f64..10.0), 1..200), later in 0u64..1500,
+        ) {
+            let (span, mut now) = (Duration::from_millis(1000), Duration::ZERO);
+            let (mut window, mut all) = (Window::default(), Vec::new());
+            for (step, weight) in steps {
+                now += Duration::from_millis(step);
+                window.note(now, span, weight);
+                all.push((now, weight));
+                for at in [now, now + Duration::from_millis(later)] {
+                    let sum: f64 = all.iter().filter(|(noted, _)| *noted + span > at).map(|(_, w)| w).sum();
+                    prop_assert!((window.sum(at, span) - sum).abs() < 1e-6);
+                }
+                prop_assert_eq!(window.len(), all.iter().filter(|(noted, _)| *noted + span > now).count());
+            }
+        }
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,9 +3,10 @@
 //! passes `Router::send`, where the rules are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
-use chalkhall_structures::Recent;
+use crate::state::{Access as Taken, Route, Seen};
+use chalkhall_structures::{Recent, Window};
 use lru::LruCache;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::{num::NonZeroUsize, time::Duration};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -56,18 +57,6 @@
     out: &'a mut dyn Outlet,
 }
 
-/// What the id list holds of one part of an object: stamps in accesses and in time, and the access cost.
-#[derive(Default)]
-struct Seen {
-    count: u64,
-    at: Duration,
-    cost: Option<f64>,
-    rank: u8,
-    unmet: bool,
-    /// The cache that last answered from a copy of it, or was told to keep one, and when.
-    held: Option<(Id, Duration)>,
-}
-
 struct IdList {
     seen: LruCache<u64, Seen>,
     accesses: u64,
@@ -126,7 +115,7 @@
 #[derive(Default)]
 struct Server {
     member: Member,
-    sent: VecDeque<(Duration, f64)>,
+    sent: Window,
     kb_under_way: f64,
     out: u32,
 
@@ -143,6 +132,9 @@
     /// Log odds that it is broken; set aside: when the next execution is due, and their distance.
     doubt: f64,
     aside: Option<(Duration, Duration)>,
+    /// When something was last sent, and how far apart that usually is.
+    sent: Duration,
+    apart: Duration,
 }
 
 impl Judged {
@@ -157,6 +149,8 @@
 
     /// Something was sent: of a trickle the next is due a spacing later.
     pub fn sent(&mut self, now: Duration) {
+        let gap = now.saturating_sub(std::mem::replace(&mut self.sent, now));
+        self.apart = if self.aside.is_none() { (self.apart * 7 + gap) / 8 } else { self.apart };
         self.aside = self.aside.map(|(_, spacing)| (now + spacing, spacing));
     }
 
@@ -170,7 +164,9 @@
             Some((_, spacing)) if failed => (spacing * 2).min(TRICKLE_SLOWEST),
             Some((_, spacing)) => spacing / 2,
         };
-        self.aside = (spacing >= TRICKLE_FULL).then_some((now + spacing, spacing));
+        // Who sends here seldom anyway floods nothing: its trickle is full where it no longer binds.
+        let full = !failed && spacing < TRICKLE_FULL.max(self.apart);
+        self.aside = (!full).then_some((now + spacing, spacing));
         self.doubt *= f64::from(self.aside.is_some());
     }
 }
@@ -180,34 +176,7 @@
     filling: bool,
 }
 
-/// Where an execution goes: a server, and the source of a fill with it; itself: no fill. To an own copy: when
-/// that was made, and for how long past its fresh time it will do.
-#[derive(Clone)]
-struct Route {
-    server: Id,
-    source: Id,
-    made: Option<Duration>,
-    past: Duration,
-}
-
-#[derive(Default)]
-struct Access {
-    arrival: Arrival,
-    rank: u8,
-    first: bool,
-    /// Its sending time at the client's pace, its soft limit, and when its final answer is out at the latest.
-    work: Duration,
-    soft: Duration,
-    due: Duration,
-    executions: Vec<Execution>,
-    open: usize,
-    ended: bool,
-    /// It has waited for another's fill of the same part.
-    joined: bool,
-    ran: Option<(Duration, Id)>,
-    failed: Vec<Id>,
-    erred: Vec<(Id, f64)>,
-}
+type Access = Taken<Execution>;
 
 #[derive(Default)]
 pub struct Router {
@@ -216,7 +185,8 @@
     margin: Duration,
     kb_per_s: f64,
 
-    /// Of caches and of parents: the bounds of a cold start, and this router's share of what one bears.
+    number: u64,
+    /// Of caches and of parents: the bounds of a cold start, and how many routers share what one bears.
     cold: [(ColdStart, f64); 2],
     routers_here: f64,
     most_executions: usize,
@@ -265,8 +235,8 @@
             margin: told.tick * 2,
             kb_per_s: if told.client_kb_per_s > 0.0 { told.client_kb_per_s } else { f64::INFINITY },
 
-            cold: [(told.cold_cache, routers_here), (told.cold_parent, told.routers.max(1) as f64)]
-                .map(|(cold, sharing)| (cold, COLD_MARGIN / sharing)),
+            cold: [(told.cold_cache, routers_here), (told.cold_parent, told.routers.max(1) as f64)],
+            number: told.number,
             routers_here,
             most_executions: told.max_executions.max(1),
             may_cancel: told.may_cancel,
@@ -324,7 +294,7 @@
         let due = now + arrival.left.saturating_sub(self.margin);
         let soft = now + category.soft_limit + work.mul_f64(category.soft_stretch);
         let (id, late) = (arrival.id.clone(), arrival.id.clone());
-        let access = Access { arrival, rank, first, work, soft, due, ..Access::default() };
+        let access = Access::new(arrival, rank, first, work, soft, due);
         self.accesses.insert(id.clone(), access);
         self.after(turn, due.saturating_sub(now), Box::new(move |router, turn| router.end(turn, &late)));
         self.advance(turn, &id);
@@ -552,15 +522,23 @@
         if server.member.standing != Standing::Active {
             return false;
         }
-        let Some((cold, share)) = self.cold.get(server.member.tier as usize) else { return true };
+        let Some((cold, sharing)) = self.cold.get(server.member.tier as usize) else { return true };
         let Some(age) = server.member.started.map(|at| now.saturating_sub(at)) else { return true };
         // What an earlier life of this router sent is not known to it.
         let known = now >= self.started + cold.span;
         let warm = (age.as_secs_f64() / cold.warm_within.as_secs_f64()).min(1.0);
         let present = server.member.capacity * (cold.from + (1.0 - cold.from) * warm);
-        let bears = cold.multiple * present * cold.span.as_secs_f64() * share;
-        let sent: f64 = server.sent.iter().filter(|(at, _)| *at + cold.span > now).map(|(_, w)| w).sum();
-        age >= cold.warm_within + cold.span || known && sent + self.weight(server, access) <= bears
+        let bears = COLD_MARGIN * cold.multiple * present * cold.span.as_secs_f64();
+        let (share, weight) = (bears / sharing, self.weight(server, access));
+        let sent = server.sent.sum(now, cold.span);
+        // Of many routers none has a share that one transfer fits in: in each span a few, drawn by hash, may
+        // send one. The sum expected is the same, and of eight transfers or more it hardly strays to twice.
+        let drawn = || {
+            let spans = age.div_duration_f64(cold.span) as u64;
+            let hash = xxh3_64_with_seed(server.member.server.as_bytes(), spans << 16 ^ self.number);
+            weight <= bears / 8.0 && (hash as f64) < (share - sent) / weight * 2f64.powi(64)
+        };
+        age >= cold.warm_within + cold.span || known && (sent + weight <= share || drawn())
     }
 
     fn weight(&self, server: &Server, access: &Access) -> f64 {
@@ -636,8 +614,7 @@
         let span = self.cold[0].0.span.max(self.cold[1].0.span);
         for (name, weight) in route.ends().zip(weights) {
             let Some(server) = self.servers.get_mut(name) else { continue };
-            server.sent.retain(|(at, _)| *at + span > now);
-            server.sent.push_back((now, weight));
+            server.sent.note(now, span, weight);
             server.kb_under_way += kb;
             server.out += 1;
             server.record.sent(now);
@@ -820,9 +797,3 @@
         }
     }
 }
-
-impl Route {
-    fn ends(&self) -> impl Iterator<Item = &Id> {
-        [Some(&self.server), Some(&self.source).filter(|s| **s != self.server)].into_iter().flatten()
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,3 +34,4 @@
 
 pub mod control;
 pub mod interface;
+mod state;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,66 @@
+//! The plain state of one access and of one part of an object. Nothing is decided here.
+
+use crate::interface::{Arrival, Id};
+use std::time::Duration;
+
+/// What the id list holds of one part of an object: stamps in accesses and in time, and the access cost.
+#[derive(Default)]
+pub struct Seen {
+    pub count: u64,
+    pub at: Duration,
+    pub cost: Option<f64>,
+    pub rank: u8,
+    pub unmet: bool,
+    /// The cache that last answered from a copy of it, or was told to keep one, and when.
+    pub held: Option<(Id, Duration)>,
+}
+
+/// Where an execution goes: a server, and the source of a fill with it; itself: no fill. To an own copy: when
+/// that was made, and for how long past its fresh time it will do.
+#[derive(Clone)]
+pub struct Route {
+    pub server: Id,
+    pub source: Id,
+    pub made: Option<Duration>,
+    pub past: Duration,
+}
+
+impl Route {
+    pub fn ends(&self) -> impl Iterator<Item = &Id> {
+        [Some(&self.server), Some(&self.source).filter(|s| **s != self.server)].into_iter().flatten()
+    }
+}
+
+/// An access between its coming in and the end of its last execution; `E`: what is kept of an execution.
+pub struct Access<E> {
+    pub arrival: Arrival,
+    pub rank: u8,
+    pub first: bool,
+    /// Its sending time at the client's pace, its soft limit, and when its final answer is out at the latest.
+    pub work: Duration,
+    pub soft: Duration,
+    pub due: Duration,
+    pub executions: Vec<E>,
+    pub open: usize,
+    pub ended: bool,
+    /// It has waited for another's fill of the same part.
+    pub joined: bool,
+    pub ran: Option<(Duration, Id)>,
+    pub failed: Vec<Id>,
+    pub erred: Vec<(Id, f64)>,
+}
+
+impl<E> Access<E> {
+    pub fn new(
+        arrival: Arrival,
+        rank: u8,
+        first: bool,
+        work: Duration,
+        soft: Duration,
+        due: Duration,
+    ) -> Self {
+        let (executions, open, ended, joined, ran) = (Vec::new(), 0, false, false, None);
+        let (failed, erred) = (Vec::new(), Vec::new());
+        Access { arrival, rank, first, work, soft, due, executions, open, ended, joined, ran, failed, erred }
+    }
+}
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,179 @@
+//! What is harmless in one router and adds up over many: the decisions of a fleet against plain sums.
+
+use chalkhall::control::{Judged, Router};
+use chalkhall::interface::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What one router orders: executions with their source, and when it wants to be woken.
+#[derive(Default)]
+struct Orders {
+    executions: Vec<(Id, Id)>,
+    wakes: BTreeMap<(Duration, u64), ()>,
+}
+
+impl Outlet for Orders {
+    fn execute(&mut self, access: &Id, _server: &Id, _limit: Duration, fill: &Fill) {
+        self.executions.push((access.clone(), fill.source.clone()));
+    }
+    fn decline(&mut self, _access: &Id, _advice: Option<Duration>) {}
+    fn give_up(&mut self, _access: &Id) {}
+    fn cancel(&mut self, _access: &Id, _execution: usize) {}
+    fn wake_at(&mut self, at: Duration, mark: u64) {
+        self.wakes.insert((at, mark), ());
+    }
+    fn watch_list(&mut self) {}
+}
+
+const ROUTERS: u64 = 300;
+const FROM: f64 = 0.1;
+
+fn told(number: u64) -> Deployment {
+    let cold = ColdStart { from: FROM, warm_within: ms(20_000), multiple: 2.0, span: ms(1000) };
+    Deployment {
+        number,
+        seed: number,
+        routers: ROUTERS as usize,
+        location: 1,
+        routers_at: vec![0, 1],
+        hub_of: vec![0, 0],
+        link_kb_per_s: vec![],
+        categories: vec![Category {
+            effect: Effect::Idempotent,
+            group: Group::All,
+            window: ms(2000),
+            soft_limit: ms(5000),
+            soft_stretch: 2.0,
+            hard_limit: ms(9000),
+            benefit: 1.0,
+            late_benefit: 0.2,
+            fresh: None,
+            stale_for: ms(0),
+            stale_benefit: 0.5,
+            cacheable: true,
+            in_parts: false,
+            streamed: false,
+        }],
+        customers: vec![],
+        tick: ms(2),
+        client_kb_per_s: 1000.0,
+        max_executions: 6,
+        second_copies: false,
+        may_cancel: true,
+        longest_advice: None,
+        cold_cache: cold,
+        cold_parent: cold,
+        drain_grace: ms(250),
+        purge_grace: ms(500),
+        purge_done: ms(6000),
+        pass_through: true,
+        joins: false,
+        siblings: Siblings::None,
+        telling: Telling::All,
+        hints: Hints::Nominal,
+        list_on_request: false,
+        ask_within: ms(10_000),
+    }
+}
+
+fn member(server: &str, tier: Tier, capacity: f64, started: Option<Duration>) -> Member {
+    let location = usize::from(tier == Tier::Cache);
+    Member { server: server.into(), location, tier, capacity, started, ..Member::default() }
+}
+
+/// 300 routers, each with an access of 0.2 s three times a second, before two parents of which one has just
+/// started. Each share of the cold one is under a hundredth of a transfer at first.
+#[test]
+fn a_cold_parent_is_warmed_by_a_few_in_turn_and_never_pushed_over() {
+    let (capacity, started) = (40.0, ms(10_000));
+    let list = [
+        member("c", Tier::Cache, 40.0, None),
+        member("warm", Tier::Parent, 40.0, None),
+        member("cold", Tier::Parent, capacity, Some(started)),
+        member("origin", Tier::Origin, 1.0, None),
+    ];
+    let mut sent: Vec<(Duration, f64)> = Vec::new();
+    for number in 0..ROUTERS {
+        let mut orders = Orders::default();
+        let mut router = Router::start(ms(0), &told(number), &mut orders);
+        router.list(ms(0), ListKind::Whole, &list, &mut orders);
+        let mut chance = fastrand::Rng::with_seed(number ^ 77);
+        let mut now = started;
+        for n in 0u64.. {
+            now += ms(chance.u64(0..667));
+            if now > started + ms(20_000) {
+                break;
+            }
+            while let Some((&(at, mark), ())) =
+                orders.wakes.first_key_value().filter(|((at, _), ())| *at <= now)
+            {
+                orders.wakes.pop_first();
+                router.wake(at, mark, &mut orders);
+            }
+            let id: Id = format!("{number}-{n}").into();
+            let arrival =
+                Arrival { id: id.clone(), object: id, kb: 200.0, left: ms(9000), ..Arrival::default() };
+            router.access(now, arrival, &mut orders);
+            for (id, source) in std::mem::take(&mut orders.executions) {
+                if *source == *"cold" {
+                    sent.push((now, 0.2));
+                }
+                let ended = Ended {
+                    outcome: Outcome::Honoured,
+                    remark: Remark::Filled,
+                    took: ms(200),
+                    first_byte: Some(ms(10)),
+                    over: true,
+                    load: Load::default(),
+                };
+                router.result(now, &id, 0, &ended, &mut orders);
+            }
+        }
+    }
+    sent.sort_by_key(|(at, _)| *at);
+    let present = |at: Duration| {
+        let warm = ((at - started).as_secs_f64() / 20.0).min(1.0);
+        capacity * (FROM + (1.0 - FROM) * warm)
+    };
+    let mut most: f64 = 0.0;
+    for (at, _) in &sent {
+        let within =
+            sent.iter().filter(|(t, _)| *t >= *at && *t < *at + ms(1000)).map(|(_, w)| w).sum::<f64>();
+        most = most.max(within / present(*at));
+    }
+    assert!(most < 2.0, "in some second it was sent {most:.2} times what it could do");
+    // Accesses for 180 s of sending come a second, half of them for the cold one, which has 24 s on the mean.
+    let work: f64 = sent.iter().map(|(_, w)| w).sum();
+    assert!(work > 20.0 * 0.25 * 22.0, "only {work:.0} s of sending went to the cold parent");
+}
+
+/// One that is sent something every six seconds needs no ramp: its whole traffic is less than the trickle.
+#[test]
+fn a_trickle_ends_where_it_no_longer_binds() {
+    let played = |apart: Duration| {
+        let (mut judged, mut now) = (Judged::default(), ms(1_000_000));
+        for _ in 0..40 {
+            now += apart;
+            judged.sent(now);
+            judged.judge(now, false, 1.0);
+        }
+        for _ in 0..3 {
+            judged.judge(now, true, 1.0);
+        }
+        assert!(judged.is_aside());
+        now += ms(6000);
+        judged.sent(now);
+        judged.judge(now, true, 1.0);
+        assert!(judged.is_aside(), "a failure never ends it");
+        now += ms(6000);
+        judged.sent(now);
+        judged.judge(now, false, 1.0);
+        judged.is_aside()
+    };
+    assert!(!played(ms(6000)), "seldom: the first success shows it sound");
+    assert!(played(ms(20)), "often: it comes back by doubling");
+}
