Mates: the routers of a location tell one another which cache has which part

Built: crates/members, no I/O: who there is (found by one datagram to all, kept by signs of life, so that a split heals without asking all again), what is said (a part's key and the mark of its cache, 5 bytes, at most 252 a datagram, twice a second), and a codec that is fuzzed. crates/router/src/peers.rs is its socket. A part told counts as sighted and held here: it is a repeat, and no likely fill. Nothing else, and no rule, depends on it.

Also: the line run is started by a test as the deploy file gives it, and fails where it starts a process, links statically, listens elsewhere than told or does not end on SIGTERM; peers bound only where told. Scenario told and the three tests of mates in the program fail without.

--- a/crates/directives/src/lib.rs
+++ b/crates/directives/src/lib.rs
@@ -16,7 +16,7 @@
 mod words;
 
 pub use values::Amount;
-pub use words::{Bound, CellMembers, Cells, Log, LogFormat, Store, Table, Told, WORDS};
+pub use words::{Bound, CellMembers, Cells, Log, LogFormat, Peers, Store, Table, Told, WORDS};
 
 use lines::{Line, Word};
 use std::fmt;
--- a/crates/directives/src/words.rs
+++ b/crates/directives/src/words.rs
@@ -13,6 +13,14 @@
     pub control: Option<PathBuf>,
     pub store: Store,
     pub cells: Cells,
+    pub peers: Peers,
+}
+
+/// Talk among the routers of a location. Without it each decides by its own traffic alone.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Tells the other routers of the location what it sights and has under way, and heeds what they tell.
+    pub tell: bool,
 }
 
 /// Which cache servers a cell has.
@@ -148,7 +156,7 @@
     }
 
     pub fn sections(&self) -> impl Iterator<Item = &'static &'static str> {
-        ["store", "cells"].iter()
+        ["store", "cells", "peers"].iter()
     }
 }
 
@@ -363,6 +371,14 @@
         told.cells.overlap = Some(at(0, values::whole(words[0], 0, 10_000))? as usize);
         Ok(())
     }),
+    one("peers", "tell", "on|off", "tells the routers of the location what it sights", |told, words| {
+        told.peers.tell = match words[0] {
+            "on" => true,
+            "off" => false,
+            other => return Err((0, format!("{other:?} is neither on nor off"))),
+        };
+        Ok(())
+    }),
     Entry {
         section: "cells",
         name: "tenant-rate",
--- /dev/null
+++ b/crates/members/src/codec.rs
@@ -0,0 +1,149 @@
+//! The datagrams: pure functions over bytes, both ways. Nothing from a peer is trusted: what is cut, too long,
+//! of another version or out of bounds is an error as a whole.
+//!
+//! | bytes | what |
+//! | --- | --- |
+//! | 1 | 0xC1: this format |
+//! | 1 | bit 0: the sender is looking for mates; all others 0 |
+//! | 2 | the sender's location |
+//! | 5 each | findings, to the end: 4 bytes of a part's key (31 bits), 1 of the mark of the cache that has it |
+//!
+//! Numbers have their high byte first. A cache's mark is a byte of its name's hash; 0 is none's.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// A datagram is no longer than this.
+pub const MOST_BYTES: usize = 256;
+const FORMAT: u8 = 0xC1;
+const LOOKING: u8 = 1;
+const HEAD: usize = 4;
+const FINDING: usize = 5;
+/// So many findings fit.
+pub const FINDINGS_MOST: usize = (MOST_BYTES - HEAD) / FINDING;
+/// Keys of parts have so many bits.
+pub const KEY_BITS: u32 = 31;
+
+/// A part, and the mark of the cache that the sender found it at or told to keep it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Finding {
+    pub part: u32,
+    pub cache: u8,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Datagram {
+    pub looking: bool,
+    pub location: u16,
+    pub findings: Vec<Finding>,
+}
+
+/// What is wrong with a datagram.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Of another format, or with a bit that this one does not know.
+    Format,
+    /// Shorter than its head, cut within a finding, or longer than a datagram may be.
+    Length,
+    /// A key with too many bits, or a finding at no cache.
+    Value,
+}
+
+/// The mark of a cache, by its name; never 0.
+pub fn mark(name: &str) -> u8 {
+    ((xxh3_64(name.as_bytes()) >> 56) as u8).max(1)
+}
+
+impl Datagram {
+    /// Findings past [`FINDINGS_MOST`] are left out.
+    pub fn encode(&self) -> Vec<u8> {
+        let findings = &self.findings[..self.findings.len().min(FINDINGS_MOST)];
+        let mut bytes = Vec::with_capacity(HEAD + findings.len() * FINDING);
+        bytes.extend([FORMAT, if self.looking { LOOKING } else { 0 }]);
+        bytes.extend(self.location.to_be_bytes());
+        for finding in findings {
+            bytes.extend(finding.part.to_be_bytes());
+            bytes.push(finding.cache);
+        }
+        bytes
+    }
+
+    /// # Errors
+    /// Says what is wrong; of such a datagram nothing counts.
+    pub fn decode(bytes: &[u8]) -> Result<Datagram, Fault> {
+        let [format, marks, high, low, rest @ ..] = bytes else { return Err(Fault::Length) };
+        if bytes.len() > MOST_BYTES || rest.len() % FINDING != 0 {
+            return Err(Fault::Length);
+        }
+        if *format != FORMAT || marks & !LOOKING != 0 {
+            return Err(Fault::Format);
+        }
+        let finding = |f: &[u8]| Finding { part: u32::from_be_bytes([f[0], f[1], f[2], f[3]]), cache: f[4] };
+        let findings: Vec<Finding> = rest.chunks_exact(FINDING).map(finding).collect();
+        if findings.iter().any(|f| f.part >> KEY_BITS != 0 || f.cache == 0) {
+            return Err(Fault::Value);
+        }
+        Ok(Datagram { looking: marks & LOOKING != 0, location: u16::from_be_bytes([*high, *low]), findings })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn datagrams() -> impl Strategy<Value = Datagram> {
+        let finding = (0u32..1 << KEY_BITS, 1u8..).prop_map(|(part, cache)| Finding { part, cache });
+        let all = (any::<bool>(), any::<u16>(), prop::collection::vec(finding, 0..70));
+        all.prop_map(|(looking, location, findings)| Datagram { looking, location, findings })
+    }
+
+    proptest! {
+        #[test]
+        fn what_is_told_comes_back_as_far_as_it_fits(told in datagrams()) {
+            let bytes = told.encode();
+            prop_assert!(bytes.len() <= MOST_BYTES);
+            let back = Datagram::decode(&bytes).expect("own bytes");
+            prop_assert_eq!((back.looking, back.location), (told.looking, told.location));
+            prop_assert_eq!(&back.findings[..], &told.findings[..told.findings.len().min(FINDINGS_MOST)]);
+        }
+
+        #[test]
+        fn any_bytes_are_read_whole_or_refused(mut bytes in prop::collection::vec(any::<u8>(), 0..300), own: bool) {
+            if own && bytes.len() > 1 {
+                (bytes[0], bytes[1]) = (FORMAT, bytes[1] & LOOKING);
+            }
+            if let Ok(read) = Datagram::decode(&bytes) {
+                prop_assert_eq!(read.encode(), bytes);
+            }
+        }
+
+        #[test]
+        fn what_is_cut_within_a_finding_is_refused(told in datagrams(), cut in 0usize..256) {
+            let bytes = told.encode();
+            if cut < bytes.len() && (cut < HEAD || !(cut - HEAD).is_multiple_of(FINDING)) {
+                prop_assert_eq!(Datagram::decode(&bytes[..cut]), Err(Fault::Length));
+            }
+        }
+
+        #[test]
+        fn a_flipped_head_is_refused_or_says_something_else(told in datagrams(), bit in 0usize..16) {
+            let mut bytes = told.encode();
+            bytes[bit / 8] ^= 1 << (bit % 8);
+            match Datagram::decode(&bytes) {
+                Ok(read) => prop_assert!(bit == 8 && read.looking != told.looking),
+                Err(fault) => prop_assert_eq!(fault, Fault::Format),
+            }
+        }
+    }
+
+    #[test]
+    fn absurd_values_and_lengths_are_refused() {
+        for finding in [Finding { part: u32::MAX, cache: 1 }, Finding { part: 1, cache: 0 }] {
+            let wrong = Datagram { findings: vec![finding], ..Datagram::default() };
+            assert_eq!(Datagram::decode(&wrong.encode()), Err(Fault::Value));
+        }
+        let mut long = Datagram::default().encode();
+        long.extend([1; 255]);
+        assert_eq!(Datagram::decode(&long), Err(Fault::Length));
+    }
+}
--- /dev/null
+++ b/crates/members/src/talk.rs
@@ -0,0 +1,394 @@
+//! Who there is at this location, what is said to whom and when, and what is believed. No I/O: calls in,
+//! datagrams out through a [`Mouth`], what is believed through an [`Ear`].
+//!
+//! Mates find one another by a datagram to all routers, which says where its sender stands: every router of the
+//! same location takes it for a mate and tells it what it tells the others. It is said again, after twice as
+//! long each time, while some were never heard; never again once all were, whoever is silent: a datagram to
+//! all costs as much as a minute of talk. A mate that is silent for [`SILENT`] gets a sign of life now and then,
+//! so that both sides of a split find back without asking all.
+
+use crate::codec::{Datagram, FINDINGS_MOST, Finding, mark};
+use chalkhall::control::Router;
+use chalkhall::interface::Id;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+/// Between two datagrams to the mates, which have what was found since.
+pub const PERIOD: Duration = Duration::from_millis(500);
+/// A mate that is silent for so long is away: four datagrams in a row are seldom lost by chance.
+pub const SILENT: Duration = Duration::from_millis(2000);
+/// Who has nothing to tell says so after so many periods: within [`SILENT`], with one lost.
+const SIGN_OF_LIFE: u32 = 2;
+/// Until all are asked again while mates are missing: at first, and at most.
+const ASK_FIRST: Duration = Duration::from_secs(2);
+const ASK_MOST: Duration = Duration::from_secs(64);
+/// Findings waiting to be told; the oldest go first, which costs a mate a hint. And datagrams a period.
+const QUEUED_MOST: usize = 128;
+const DATAGRAMS_MOST: usize = 2;
+
+/// To whom a datagram goes: every router of the tier, or one by its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum To {
+    All,
+    One(u64),
+}
+
+/// Sends datagrams; each may be lost.
+pub trait Mouth {
+    fn say(&mut self, to: To, bytes: &[u8]);
+}
+
+/// Takes in what the mates tell.
+pub trait Ear {
+    /// A mate has found a part at a cache, or had it kept there.
+    fn found(&mut self, now: Duration, part: u32, cache: Id);
+}
+
+impl Ear for Router {
+    fn found(&mut self, now: Duration, part: u32, cache: Id) {
+        self.told(now, part, cache);
+    }
+}
+
+/// Where a router stands.
+#[derive(Clone, Copy, Debug)]
+pub struct About {
+    pub number: u64,
+    pub routers: usize,
+    pub location: usize,
+    /// How many routers the location has, this one among them.
+    pub routers_here: usize,
+    pub seed: u64,
+}
+
+/// How often what came was dropped, and why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    /// From nobody that there is, or from more than the location has.
+    pub strangers: u64,
+    /// Of another format, cut or too long, or with values out of bounds.
+    pub faulty: u64,
+    /// Own findings that were never told.
+    pub untold: u64,
+}
+
+pub struct Talk {
+    about: About,
+    /// By mark; none where two caches have the same: of those nothing is told or believed.
+    caches: BTreeMap<u8, Option<Id>>,
+    /// When each router of the location was last heard; no more than there are.
+    mates: BTreeMap<u64, Duration>,
+    queue: VecDeque<Finding>,
+    next: Duration,
+    quiet: u32,
+    ask: Duration,
+    ask_again: Duration,
+    dropped: Dropped,
+}
+
+impl Talk {
+    /// None where there is nobody to talk to.
+    pub fn start(now: Duration, about: About) -> Option<Talk> {
+        let alone = about.routers_here <= 1 || about.routers <= 1 || about.location > usize::from(u16::MAX);
+        // Routers that start together do not all speak in the same instant.
+        let lag = PERIOD.mul_f64(fastrand::Rng::with_seed(about.seed).f64());
+        (!alone).then(|| Talk {
+            about,
+            caches: BTreeMap::new(),
+            mates: BTreeMap::new(),
+            queue: VecDeque::new(),
+            next: now + lag,
+            quiet: 0,
+            ask: now,
+            ask_again: ASK_FIRST,
+            dropped: Dropped::default(),
+        })
+    }
+
+    /// The caches of this location, anew.
+    pub fn caches<'a>(&mut self, names: impl Iterator<Item = &'a Id>) {
+        self.caches.clear();
+        for name in names {
+            let same = self.caches.entry(mark(name));
+            same.and_modify(|taken| *taken = None).or_insert_with(|| Some(name.clone()));
+        }
+    }
+
+    /// This router has found a part at a cache, or had it kept there.
+    pub fn found(&mut self, part: u32, cache: &Id) {
+        let cache = mark(cache);
+        if !matches!(self.caches.get(&cache), Some(Some(_))) {
+            return;
+        }
+        if let Some(waiting) = self.queue.iter_mut().find(|waiting| waiting.part == part) {
+            waiting.cache = cache;
+            return;
+        }
+        if self.queue.len() == QUEUED_MOST {
+            self.queue.pop_front();
+            self.dropped.untold += 1;
+        }
+        self.queue.push_back(Finding { part, cache });
+    }
+
+    /// When [`Talk::tick`] has something to do.
+    pub fn next(&self) -> Duration {
+        self.next
+    }
+
+    /// How many mates were heard lately, and how many ever.
+    pub fn mates(&self, now: Duration) -> (usize, usize) {
+        let lately = self.mates.values().filter(|heard| now < **heard + SILENT);
+        (lately.count(), self.mates.len())
+    }
+
+    pub fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+
+    /// Asks who is missing, tells the mates what was found.
+    pub fn tick(&mut self, now: Duration, mouth: &mut dyn Mouth) {
+        if now < self.next {
+            return;
+        }
+        // After a pause no periods are made up for.
+        self.next = now + PERIOD;
+        let location = self.about.location as u16;
+        if now >= self.ask && self.mates.len() + 1 < self.about.routers_here {
+            mouth.say(To::All, &Datagram { looking: true, location, findings: Vec::new() }.encode());
+            self.ask = now + self.ask_again;
+            self.ask_again = (self.ask_again * 2).min(ASK_MOST);
+        }
+        self.quiet += 1;
+        let alive = self.quiet >= SIGN_OF_LIFE;
+        for n in 0..DATAGRAMS_MOST {
+            if self.queue.is_empty() && !(alive && n == 0) {
+                break;
+            }
+            let findings = self.queue.drain(..self.queue.len().min(FINDINGS_MOST)).collect();
+            let bytes = Datagram { looking: false, location, findings }.encode();
+            // Whoever is away is only shown a sign of life.
+            let (short, signs) = (&bytes[..bytes.len().min(4)], alive && n == 0);
+            for (number, heard) in &self.mates {
+                match now < *heard + SILENT {
+                    true => mouth.say(To::One(*number), &bytes),
+                    false if signs => mouth.say(To::One(*number), short),
+                    false => {}
+                }
+            }
+            self.quiet = 0;
+        }
+    }
+
+    /// A datagram has come from the router of this number.
+    pub fn heard(&mut self, now: Duration, from: u64, bytes: &[u8], ear: &mut dyn Ear) {
+        let there_is = from < self.about.routers as u64 && from != self.about.number;
+        // More than the location has are not mates, whoever they are.
+        let full = || self.mates.len() + 1 >= self.about.routers_here && !self.mates.contains_key(&from);
+        let Ok(datagram) = Datagram::decode(bytes) else {
+            self.dropped.faulty += 1;
+            return;
+        };
+        if there_is && usize::from(datagram.location) != self.about.location {
+            return;
+        }
+        if !there_is || full() {
+            self.dropped.strangers += 1;
+            return;
+        }
+        self.mates.insert(from, now);
+        if datagram.looking {
+            // It learns of this router by the next sign of life, which comes at once.
+            self.quiet = SIGN_OF_LIFE;
+        }
+        for Finding { part, cache } in datagram.findings {
+            if let Some(Some(cache)) = self.caches.get(&cache) {
+                ear.found(now, part, cache.clone());
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::BTreeSet;
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    #[derive(Default)]
+    struct Said(Vec<(To, Vec<u8>)>);
+
+    impl Mouth for Said {
+        fn say(&mut self, to: To, bytes: &[u8]) {
+            assert!(bytes.len() <= crate::codec::MOST_BYTES);
+            self.0.push((to, bytes.to_vec()));
+        }
+    }
+
+    #[derive(Default)]
+    struct Heard(Vec<(u32, Id)>);
+
+    impl Ear for Heard {
+        fn found(&mut self, _now: Duration, part: u32, cache: Id) {
+            self.0.push((part, cache));
+        }
+    }
+
+    /// Six routers of location 1 and six of location 2, in a net that may lose what it carries.
+    struct Net {
+        talks: Vec<Option<Talk>>,
+        heard: Vec<Heard>,
+        loses: f64,
+        /// Routers from this number on are cut off from those before.
+        cut: usize,
+        chance: fastrand::Rng,
+        to_all: usize,
+    }
+
+    fn about(number: u64) -> About {
+        About { number, routers: 12, location: 1 + number as usize / 6, routers_here: 6, seed: number }
+    }
+
+    fn talk(now: u64, number: u64) -> Talk {
+        let mut talk = Talk::start(ms(now), about(number)).expect("not alone");
+        talk.caches(["c1".into(), "c2".into()].iter());
+        talk
+    }
+
+    impl Net {
+        fn new(loses: f64) -> Net {
+            let talks = (0..12).map(|number| Some(talk(0, number))).collect();
+            let heard = (0..12).map(|_| Heard::default()).collect();
+            Net { talks, heard, loses, cut: 0, chance: fastrand::Rng::with_seed(5), to_all: 0 }
+        }
+
+        fn until(&mut self, from: u64, to: u64) {
+            for now in from..to {
+                for number in 0..12 {
+                    let mut said = Said::default();
+                    let Some(talk) = &mut self.talks[number] else { continue };
+                    talk.tick(ms(now), &mut said);
+                    for (to, bytes) in said.0 {
+                        self.to_all += usize::from(to == To::All);
+                        let others = (0..12).filter(|o| *o != number);
+                        for other in others.filter(|o| to == To::All || to == To::One(*o as u64)) {
+                            let apart = (number < self.cut) != (other < self.cut);
+                            let lost = apart || self.chance.f64() < self.loses;
+                            if let (false, Some(talk)) = (lost, &mut self.talks[other]) {
+                                talk.heard(ms(now), number as u64, &bytes, &mut self.heard[other]);
+                            }
+                        }
+                    }
+                }
+            }
+        }
+
+        fn lately(&self, now: u64) -> Vec<usize> {
+            self.talks.iter().map(|talk| talk.as_ref().map_or(0, |talk| talk.mates(ms(now)).0)).collect()
+        }
+
+        fn find(&mut self, number: usize, part: u32, cache: &str) {
+            self.talks[number].as_mut().expect("there").found(part, &cache.into());
+        }
+    }
+
+    #[test]
+    fn mates_find_one_another_and_tell_what_they_find() {
+        let mut net = Net::new(0.0);
+        net.until(0, 1500);
+        assert_eq!(net.lately(1500), [5; 12]);
+        net.find(0, 77, "c2");
+        net.find(0, 78, "unknown");
+        net.until(1500, 2500);
+        for number in 1..6 {
+            assert_eq!(net.heard[number].0, [(77, "c2".into())]);
+        }
+        assert!(net.heard[6..].iter().all(|heard| heard.0.is_empty()), "another location");
+    }
+
+    #[test]
+    fn a_split_heals_and_who_starts_anew_is_found_without_asking_all() {
+        let mut net = Net::new(0.0);
+        net.until(0, 3000);
+        let asked = net.to_all;
+        net.cut = 3;
+        net.until(3000, 9000);
+        assert_eq!(net.lately(9000), [2, 2, 2, 2, 2, 2, 5, 5, 5, 5, 5, 5]);
+        net.cut = 0;
+        net.until(9000, 10_500);
+        assert_eq!(net.lately(10_500), [5; 12]);
+        assert_eq!(net.to_all, asked, "mates once heard are not looked for among all");
+        net.talks[1] = None;
+        net.until(10_500, 13_000);
+        assert_eq!(net.lately(13_000)[0], 4);
+        net.talks[1] = Some(talk(13_000, 1));
+        net.until(13_000, 14_500);
+        assert_eq!(net.lately(14_500), [5; 12]);
+        assert_eq!(net.to_all, asked + 1, "only who starts anew asks all");
+    }
+
+    #[test]
+    fn a_third_of_all_datagrams_lost_loses_no_mate_for_long() {
+        let mut net = Net::new(0.33);
+        net.until(0, 20_000);
+        let known = net.lately(20_000);
+        assert!(known.iter().sum::<usize>() >= 52, "{known:?} of five each");
+    }
+
+    #[test]
+    fn nobody_is_asked_for_ever() {
+        let (mut talk, mut asked) = (talk(0, 0), 0);
+        for now in 0..600_000 {
+            let mut said = Said::default();
+            talk.tick(ms(now), &mut said);
+            asked += said.0.len();
+        }
+        assert!((10..=16).contains(&asked), "{asked} in ten minutes");
+    }
+
+    #[test]
+    fn strangers_nonsense_and_floods_change_nothing() {
+        let (mut talk, mut ear) = (talk(0, 0), Heard::default());
+        let sound = Datagram { location: 1, ..Datagram::default() }.encode();
+        for from in [0, 12, u64::MAX] {
+            talk.heard(ms(1), from, &sound, &mut ear);
+        }
+        talk.heard(ms(1), 1, &sound[..3], &mut ear);
+        talk.heard(ms(1), 1, &[0; 256], &mut ear);
+        assert_eq!((talk.mates(ms(1)), talk.dropped.strangers, talk.dropped.faulty), ((0, 0), 3, 2));
+        // All the routers there are say that they stand here: no more are believed than there can be.
+        (1..12).for_each(|from| talk.heard(ms(1), from, &sound, &mut ear));
+        assert_eq!(talk.mates(ms(1)).1, 5);
+        for part in 0..10_000 {
+            talk.found(part, &"c1".into());
+        }
+        assert_eq!(talk.queue.len(), QUEUED_MOST);
+        let mut said = Said::default();
+        talk.tick(ms(600), &mut said);
+        assert!(said.0.len() <= 1 + 5 * DATAGRAMS_MOST);
+        assert_eq!(talk.dropped.untold, 10_000 - QUEUED_MOST as u64);
+    }
+
+    #[test]
+    fn of_caches_with_one_mark_nothing_is_told_or_believed() {
+        let names: Vec<Id> = (0..600).map(|n| format!("cache-{n}").as_str().into()).collect();
+        let mut seen = BTreeSet::new();
+        let twin = names.iter().find(|name| !seen.insert(mark(name))).expect("600 names, 255 marks");
+        let first = names.iter().find(|name| mark(name) == mark(twin)).expect("its twin");
+        let (mut talk, mut ear) = (talk(0, 0), Heard::default());
+        talk.caches([first.clone(), twin.clone()].iter());
+        talk.found(1, twin);
+        assert!(talk.queue.is_empty());
+        let findings = vec![Finding { part: 3, cache: mark(twin) }];
+        talk.heard(ms(1), 1, &Datagram { location: 1, findings, ..Datagram::default() }.encode(), &mut ear);
+        assert!(ear.0.is_empty());
+    }
+
+    #[test]
+    fn alone_there_is_nobody_to_talk_to() {
+        assert!(Talk::start(ms(0), About { routers_here: 1, ..about(0) }).is_none());
+    }
+}
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -8,6 +8,7 @@
 use crate::link::{Ask, Key};
 use crate::notices::Notice;
 use crate::own::{Got, Own};
+use crate::peers::Saying;
 use crate::phase::Phase;
 use crate::server::{Order, Server};
 use crate::told::Limits;
@@ -16,6 +17,7 @@
 use chalkhall::interface::{
     self, Arrival, Deployment, Effect, Fill, Held, Id, ListKind, Member, Outcome, Outlet, Standing,
 };
+use chalkhall_members::Talk;
 use chalkhall_store::threads::End;
 use serde_json::{Value, json};
 use std::cmp::Reverse;
@@ -49,6 +51,8 @@
     Ended(Ended),
     /// An order to the disk of own copies has ended.
     Disk(End),
+    /// A datagram from the router of this number; past all: from a stranger.
+    Peer(u64, Box<[u8]>),
     /// An operator asks.
     Question(Question),
     Stop,
@@ -133,6 +137,8 @@
     ends: VecDeque<Ended>,
     answered: Vec<Id>,
     own: Option<Own>,
+    /// What is told to the other routers of the location, and how it gets to them.
+    talk: Option<(Talk, Saying)>,
     /// What an access is being honoured with.
     brought: Option<(Id, Box<Answer>)>,
     /// A first byte leaves this soon after its decision, or not at all.
@@ -228,6 +234,10 @@
         self.own.as_mut()?.held(&taken.arrival, taken.passed.have.as_ref())
     }
 
+    fn found(&mut self, part: u32, cache: &Id) {
+        self.talk.iter_mut().for_each(|(talk, _)| talk.found(part, cache));
+    }
+
     fn keep(&mut self, access: &Id, rank: u8) {
         let (Some(own), Some(taken)) = (&mut self.own, self.accesses.get(access)) else { return };
         match self.brought.take_if(|(id, _)| id == access) {
@@ -237,6 +247,13 @@
     }
 }
 
+/// What stands beside the decisions, where it is turned on: own copies, the map of cells, talk with mates.
+pub struct Beside {
+    pub own: Option<Own>,
+    pub confined: Option<Confined>,
+    pub talk: Option<(Talk, Saying)>,
+}
+
 pub struct Decider {
     router: Router,
     desk: Desk,
@@ -264,9 +281,9 @@
         limits: Limits,
         phase: watch::Sender<Phase>,
         messages: mpsc::Sender<Message>,
-        own: Option<Own>,
-        confined: Option<Confined>,
+        beside: Beside,
     ) -> Decider {
+        let Beside { own, confined, talk } = beside;
         let now = clock.now();
         let places = own.as_ref().map(Own::members).unwrap_or_default();
         let mut desk = Desk {
@@ -278,6 +295,7 @@
             ends: VecDeque::new(),
             answered: Vec::new(),
             own,
+            talk,
             brought: None,
             leave_within: shortest(deployment),
             in_hand: 0,
@@ -320,7 +338,8 @@
             }
             let due = self.desk.timers.peek().map(|Reverse((at, _))| *at);
             let own = self.desk.own.as_ref().and_then(|own| own.next_look(self.desk.now));
-            let look = due.into_iter().chain(phase.next_look(self.desk.now)).chain(own).min();
+            let talk = self.desk.talk.as_ref().map(|(talk, _)| talk.next());
+            let look = due.into_iter().chain(phase.next_look(self.desk.now)).chain(own).chain(talk).min();
             let look = look.unwrap_or(Duration::MAX).min(self.desk.now + LOOK_EVERY);
             due_at = look;
             let message = tokio::select! {
@@ -398,6 +417,10 @@
             Message::Written(bytes) => self.desk.in_hand = self.desk.in_hand.saturating_sub(bytes),
             Message::Ended(ended) => self.ended(ended),
             Message::Disk(end) => self.disk(end),
+            Message::Peer(from, bytes) => {
+                let Some((talk, _)) = &mut self.desk.talk else { return };
+                talk.heard(self.desk.now, from, &bytes, &mut self.router);
+            }
             Message::Question(Question { words, answer }) => {
                 // Who asked may have gone.
                 let _ = answer.send(self.say(&words));
@@ -517,6 +540,16 @@
                 Some(confined) => confined.report(),
                 None => json!({"error": "there are no cells"}),
             },
+            (["peers", "stat"], _) => match &self.desk.talk {
+                Some((talk, _)) => {
+                    let ((lately, ever), d) = (talk.mates(self.desk.now), talk.dropped());
+                    json!({
+                        "mates": lately, "known": ever,
+                        "strangers": d.strangers, "faulty": d.faulty, "untold": d.untold,
+                    })
+                }
+                None => json!({"error": "this router talks to no other"}),
+            },
             (["store", "stat"], None) => {
                 json!({"error": "no own copies are kept: neither memory nor disk is set"})
             }
@@ -526,6 +559,11 @@
 
     /// Background work of own copies, and the accesses by which unproven ones are asked about.
     fn tick(&mut self, late: Duration) {
+        if let Some((talk, saying)) = &mut self.desk.talk
+            && self.desk.now >= talk.next()
+        {
+            talk.tick(self.desk.now, saying);
+        }
         let Some(own) = &mut self.desk.own else { return };
         own.tick(late);
         for (arrival, passed) in own.asks() {
@@ -589,6 +627,9 @@
                 }
                 members.append(&mut self.places);
                 self.router.list(now, kind, &members, &mut self.desk);
+                if let Some((talk, _)) = &mut self.desk.talk {
+                    talk.caches(self.router.caches());
+                }
             }
         }
     }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod logs;
 mod notices;
 pub mod own;
+mod peers;
 mod phase;
 mod resp;
 mod server;
@@ -20,11 +21,12 @@
 
 use board::{Anew, Board};
 use chalkhall_directives::Told as Directives;
+use chalkhall_members::{About, Talk};
 use chalkhall_store::threads::End;
 use client::Door;
 use clock::Clock;
 use confined::Confined;
-use decider::{Decider, Message};
+use decider::{Beside, Decider, Message};
 use notices::Notice;
 use own::Own;
 use phase::Phase;
@@ -78,7 +80,20 @@
     let (location, by_customer) = (deployment.location, !deployment.customers.is_empty());
     let confined =
         Confined::new(&directives.cells, &told.categories, location, by_customer, settle, deployment.seed)?;
-    let mut decisions = Decider::start(clock, deployment, limits, phase_of, decider.clone(), own, confined);
+    let talk = told.peers.as_ref().filter(|_| directives.peers.tell).and_then(|_| {
+        let here = deployment.routers_at.get(location).copied().unwrap_or(0);
+        let (number, routers, seed) = (deployment.number, deployment.routers, deployment.seed);
+        Talk::start(clock.now(), About { number, routers, location, routers_here: here, seed })
+    });
+    let (saying, sayings) = peers::saying();
+    let socket_of_peers = match &told.peers {
+        Some(peers) if talk.is_some() => {
+            Some(peers::bind(peers).await.map_err(|e| format!("peer_listen: {}: {e}", peers.listen))?)
+        }
+        _ => None,
+    };
+    let beside = Beside { own, confined, talk: talk.map(|talk| (talk, saying)) };
+    let mut decisions = Decider::start(clock, deployment, limits, phase_of, decider.clone(), beside);
     // The list comes before the first access.
     let known = std::mem::take(&mut told.known).into_iter().filter_map(|(_, notice)| notice);
     known.for_each(|notice| decisions.notice(notice));
@@ -105,6 +120,9 @@
         kb_per_s: told.deployment.client_kb_per_s,
         clock,
     });
+    if let Some((socket, peers)) = socket_of_peers.zip(told.peers.clone()) {
+        spawn_local(peers::run(socket, peers, sayings, decider.clone()));
+    }
     if let Some(questions) = questions {
         spawn_local(control_socket::run(questions, decider.clone()));
     }
--- a/crates/router/src/told.rs
+++ b/crates/router/src/told.rs
@@ -30,9 +30,19 @@
     pub limits: Limits,
     /// How many answers at a client's pace its own link carries at once; none: not told.
     pub own_link: Option<f64>,
+    /// Where routers talk to one another; none: they may not, or are not told how.
+    pub peers: Option<Peers>,
     fixed: Vec<Value>,
 }
 
+/// The addresses of the routers of the tier, by number, and the one that reaches all of them.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    pub listen: SocketAddr,
+    pub all: SocketAddr,
+    pub each: Vec<SocketAddr>,
+}
+
 /// What a running router does not take over.
 const FIXED: [&str; 4] = ["name", "listen", "limits", "settings"];
 
@@ -111,6 +121,7 @@
         categories: names.categories,
         limits: limits(file, settings)?,
         own_link: own_link(file)?,
+        peers: peers(file, settings)?,
         fixed: FIXED.map(|name| file.get(name).cloned().unwrap_or_default()).to_vec(),
     })
 }
@@ -141,6 +152,25 @@
     })
 }
 
+fn peers(file: &Fields, settings: &Fields) -> Result<Option<Peers>, String> {
+    let limits = settings.get("Limits").and_then(Value::as_object);
+    let allowed = limits.map_or(Ok(false), |limits| deployment::flag(limits, "PeerMessages"));
+    let told = file.contains_key("peer_listen") && file.contains_key("peers");
+    if !allowed.map_err(|what| format!("settings: {what}"))? || !told {
+        return Ok(None);
+    }
+    let address = |name: &str, found: &str| {
+        found.parse::<SocketAddr>().map_err(|_| format!("{name} is not an address: {found:?}"))
+    };
+    let each = file.get("peers").and_then(Value::as_array).ok_or("peers is not an array")?;
+    let each = each.iter().map(|one| address("peers", one.as_str().unwrap_or("")));
+    Ok(Some(Peers {
+        listen: address("peer_listen", deployment::text(file, "peer_listen")?)?,
+        all: address("peers_all", deployment::text(file, "peers_all")?)?,
+        each: each.collect::<Result<_, _>>()?,
+    }))
+}
+
 fn own_link(file: &Fields) -> Result<Option<f64>, String> {
     let flow = deployment::number(file, "flow_bytes_per_s")?;
     let link = deployment::number(file, "link_bytes_per_s")?;
--- /dev/null
+++ b/crates/router/tests/program/fleet.rs
@@ -0,0 +1,132 @@
+//! What a fleet of hundreds asks of each router: one process as the line `run` starts it, and talk with mates.
+
+use crate::stand_ins::*;
+use serde_json::json;
+use std::net::UdpSocket;
+use std::os::unix::fs::MetadataExt;
+use std::path::Path;
+
+/// The inodes of the sockets that a process holds.
+fn sockets_of(process: u32) -> Vec<u64> {
+    let held = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap().flatten();
+    let inode = |path: &Path| std::fs::metadata(path).ok().map(|m| m.ino());
+    let sockets = held.filter(|fd| {
+        std::fs::read_link(fd.path()).is_ok_and(|to| to.to_string_lossy().starts_with("socket:"))
+    });
+    sockets.filter_map(|fd| inode(&fd.path())).collect()
+}
+
+/// The local addresses, as the system writes them, at which a process listens (TCP) or is bound (UDP).
+fn open_at(process: u32, table: &str, state: &str) -> Vec<String> {
+    let held = sockets_of(process);
+    let text = std::fs::read_to_string(format!("/proc/{process}/net/{table}")).unwrap_or_default();
+    let lines = text.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let own = lines.filter(|words| words[3] == state && held.contains(&words[9].parse().unwrap()));
+    own.map(|words| words[1].to_owned()).collect()
+}
+
+/// `run` of the deploy file, with the program as this build left it.
+fn line_run() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let deploy = std::fs::read_to_string(root.join("deploy/balancer.toml")).unwrap();
+    let line = deploy.lines().find_map(|line| line.strip_prefix("run = \"")).expect("run");
+    let line = line.split_once('"').expect("its end").0;
+    assert!(line.starts_with("exec target/release/chalkhall-router "), "{line}");
+    let line = line.replace("target/release/chalkhall-router", env!("CARGO_BIN_EXE_chalkhall-router"));
+    format!("cd {} && {line}", root.display())
+}
+
+#[test]
+fn the_line_run_is_one_process_that_listens_where_it_is_told_and_ends_when_asked() {
+    let mut world = World::new();
+    world.run = Some(line_run());
+    let mut program = world.start();
+    let process = program.child.id();
+    // The shell has given way: whom the platform started is the router itself.
+    let of = |name: &str| std::fs::read_to_string(format!("/proc/{process}/{name}")).unwrap();
+    assert!(of("comm").starts_with("chalkhall-route"), "{}", of("comm"));
+    let maps = of("maps");
+    assert!(maps.contains("/libc.so.6") && maps.contains("/ld-linux"), "linked statically:\n{maps}");
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    world.server("c1").accept().serve(b"body");
+    assert_eq!(client.word(), "ACK");
+    for task in std::fs::read_dir(format!("/proc/{process}/task")).unwrap().flatten() {
+        let children = std::fs::read_to_string(task.path().join("children")).unwrap();
+        assert_eq!(children, "", "it has started another process");
+    }
+    let listens = open_at(process, "tcp", "0A");
+    assert_eq!(listens.len(), 1, "it listens at {listens:?}");
+    assert!(listens[0].ends_with(":13BA"), "{listens:?} is not port 5050");
+    for table in ["tcp6", "udp", "udp6"] {
+        assert_eq!(open_at(process, table, "0A"), Vec::<String>::new(), "{table}");
+        assert_eq!(open_at(process, table, "07"), Vec::<String>::new(), "{table}");
+    }
+    // The signals come through a pair of sockets that have no name, so that nobody can come to them.
+    let (held, unix) = (sockets_of(process), of("net/unix"));
+    let own = |line: &&str| line.split_whitespace().any(|word| word.parse().is_ok_and(|n| held.contains(&n)));
+    assert!(unix.lines().filter(own).all(|line| !line.contains('/')), "a Unix socket with a name:\n{unix}");
+    drop(client);
+    program.terminate();
+    assert_eq!(program.ended().0.code(), Some(0));
+}
+
+/// A router of two at its location, and what is told to it of the other.
+fn with_a_mate(tell: &str) -> (World, UdpSocket, UdpSocket) {
+    let mut world = World::new();
+    let socket = || {
+        let socket = UdpSocket::bind(address()).unwrap();
+        socket.set_read_timeout(Some(LONG)).unwrap();
+        socket
+    };
+    let (mate, all, own) = (socket(), socket(), address());
+    let at = |socket: &UdpSocket| socket.local_addr().unwrap().to_string();
+    world.file["settings"]["FamilyInfo"]["CrewByZone"] = json!([2]);
+    world.file["settings"]["PeersTotal"] = json!(2);
+    world.file["settings"]["Limits"]["PeerMessages"] = json!(true);
+    world.file["peer_listen"] = json!(own.to_string());
+    world.file["peers"] = json!([own.to_string(), at(&mate)]);
+    world.file["peers_all"] = json!(at(&all));
+    world.directives = format!("peers {{\n tell {tell}\n}}\n");
+    (world, mate, all)
+}
+
+fn heard(socket: &UdpSocket) -> (Vec<u8>, std::net::SocketAddr) {
+    let mut buffer = [0; 512];
+    let (length, from) = socket.recv_from(&mut buffer).unwrap();
+    (buffer[..length].to_vec(), from)
+}
+
+#[test]
+fn a_mate_is_found_and_told_what_is_found() {
+    let (mut world, mate, all) = with_a_mate("on");
+    let program = world.start();
+    let (looking, router) = heard(&all);
+    assert_eq!(looking, [0xC1, 1, 0, 0], "its format, looking for mates, at location 0");
+    // Nonsense, and a stranger's word, change nothing: the router goes on, and tells its mate.
+    mate.send_to(&[0xC1, 0xFF, 0, 0, 1], router).unwrap();
+    all.send_to(&[0xC1, 0, 0, 0], router).unwrap();
+    mate.send_to(&[0xC1, 1, 0, 0], router).unwrap();
+    assert_eq!(heard(&mate).0, [0xC1, 0, 0, 0], "a sign of life");
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    world.server("c1").accept().serve(b"body");
+    assert_eq!(client.word(), "ACK");
+    let mut told = heard(&mate).0;
+    while told.len() == 4 {
+        told = heard(&mate).0;
+    }
+    assert_eq!((&told[..4], told.len()), (&[0xC1, 0, 0, 0][..], 9), "one finding");
+}
+
+#[test]
+fn untold_or_not_allowed_nobody_is_talked_to() {
+    for (tell, allowed) in [("off", true), ("on", false)] {
+        let (mut world, _mate, all) = with_a_mate(tell);
+        world.file["settings"]["Limits"]["PeerMessages"] = json!(allowed);
+        let program = world.start();
+        assert_eq!(open_at(program.child.id(), "udp", "07"), Vec::<String>::new());
+        all.set_nonblocking(true).unwrap();
+        assert!(all.recv(&mut [0; 16]).is_err(), "something was said");
+    }
+}
--- a/crates/router/tests/program/stand_ins/mod.rs
+++ b/crates/router/tests/program/stand_ins/mod.rs
@@ -282,6 +282,8 @@
     pub file: Value,
     /// The operator's file, where one is wanted.
     pub directives: String,
+    /// What starts it, where it is not the program by itself.
+    pub run: Option<String>,
     listen: SocketAddr,
     dir: PathBuf,
 }
@@ -319,7 +321,7 @@
         let file = json!({"name": "n1", "listen": listen.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1, "memory_mb": 192, "sockets": 1024}, "board": board.to_string(),
             "known": null, "settings": settings});
-        World { board: Board { listener }, servers, file, directives: String::new(), listen, dir }
+        World { board: Board { listener }, servers, file, directives: String::new(), run: None, listen, dir }
     }
 
     pub fn server(&self, name: &str) -> &Server {
@@ -356,6 +358,7 @@
             std::fs::write(&operators, &self.directives).unwrap();
             run += &format!(" {}", operators.display());
         }
+        let run = self.run.clone().unwrap_or(run);
         let mut command = Command::new("/bin/sh");
         command.args(["-c", &run]).env("ROUTER_CONFIG", &path);
         let child = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
--- a/src/control.rs
+++ b/src/control.rs
@@ -58,7 +58,7 @@
 }
 
 struct IdList {
-    seen: LruCache<u64, Seen>,
+    seen: LruCache<u32, Seen>,
     accesses: u64,
     scores: Recent,
     values: Recent,
@@ -71,8 +71,9 @@
     }
 }
 
-fn part_of(arrival: &Arrival) -> u64 {
-    xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part)
+/// The key of a part: 31 bits, as routers tell one another.
+pub fn part_of(arrival: &Arrival) -> u32 {
+    (xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part) >> 33) as u32
 }
 
 impl IdList {
@@ -220,7 +221,7 @@
     own: f64,
     link_free: Duration,
     /// By part: whose fill is under way, and who waits for what it brings.
-    filled: HashMap<u64, (Id, Vec<Id>)>,
+    filled: HashMap<u32, (Id, Vec<Id>)>,
 }
 
 impl Router {
@@ -326,6 +327,24 @@
         self.purges.entry(object.ok_or(group)).and_modify(|latest| *latest = at.max(*latest)).or_insert(at);
     }
 
+    /// Another router of the location has found a part at a cache, or had it keep it: here it is a repeat then,
+    /// and no likely fill.
+    pub fn told(&mut self, now: Duration, part: u32, cache: Id) {
+        let count = self.ids.accesses;
+        let seen = self.ids.seen.get_or_insert_mut(part, || Seen { count, at: now, ..Seen::default() });
+        seen.held = Some((cache, now));
+    }
+
+    /// The caches of its location that are not gone.
+    pub fn caches(&self) -> impl Iterator<Item = &Id> {
+        let here = |s: &&Server| s.member.tier == Tier::Cache && s.member.location == self.location;
+        self.servers.values().filter(here).map(|s| &s.member.server)
+    }
+
+    fn held(&self, part: u32) -> Option<Id> {
+        self.ids.seen.peek(&part)?.held.as_ref().map(|(cache, _)| cache.clone())
+    }
+
     pub fn wake(&mut self, now: Duration, mark: u64, out: &mut dyn Outlet) {
         let Some(then) = self.thens.remove(&mark) else { return };
         then(self, &mut Turn { now, out });
@@ -740,7 +759,11 @@
         let Some(access) = self.accesses.get(id) else { return };
         let filling = access.executions[n].filling;
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
+        let (part, before) = (part_of(&access.arrival), self.held(part_of(&access.arrival)));
         self.learn(turn.now, id, route, filling, turn.now > soft, ended);
+        if let Some(held) = self.held(part).filter(|held| before.as_ref() != Some(held)) {
+            turn.out.found(part, &held);
+        }
         if filling {
             // A server that is dead or set aside, or a broken connection, says nothing of what the links
             // bear.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -301,6 +301,8 @@
     fn held(&mut self, _access: &Id) -> Option<Held> {
         None
     }
+    /// A cache was found to hold a part, by its key, or was told to keep it, which was not known before.
+    fn found(&mut self, _part: u32, _cache: &Id) {}
     /// What this access has just been honoured with is to be an own copy at this rank, from 1 to 3.
     fn keep(&mut self, _access: &Id, _rank: u8) {}
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -8,7 +8,7 @@
 //!   access ID [category=0 object=ID part=0 group=0 kb=100 left=4000 repeated=0]
 //!   accesses COUNT ID [..]        many at once: ID0, ID1.., each for an object of its own unless named
 //!   result ID N OUTCOME [REMARK] [over] [waited=MS] [took=MS]      results COUNT ID N ..  for ID0, ID1..
-//!   left ID      begun ID      purge [object=X group=0 ago=0]
+//!   left ID      begun ID      purge [object=X group=0 ago=0]      told SERVER object=X [part=0]
 //! What must follow, among the actions since the start or the last `clear`:
 //!   expect PATTERN                one that matches, after those expected before; `*` is any word or the
 //!                                 rest, $X binds a word at first and stands for it afterwards
@@ -18,7 +18,7 @@
 //! m2 on a disk), of a link that carries two answers. What they hold is set by
 //!   own m1 object=X [part=0] [age=0] [same=0]      own gone object=X
 
-use chalkhall::control::Router;
+use chalkhall::control::{Router, part_of};
 use chalkhall::interface::*;
 use std::collections::{BTreeMap, HashMap};
 use std::path::Path;
@@ -69,6 +69,9 @@
     fn keep(&mut self, access: &Id, rank: u8) {
         self.lines.push(format!("keep {access} rank {rank}"));
     }
+    fn found(&mut self, _part: u32, cache: &Id) {
+        self.lines.push(format!("found {cache}"));
+    }
 }
 
 fn category(effect: Effect, fresh: Option<Duration>, cacheable: bool) -> Category {
@@ -277,6 +280,12 @@
                     router.result(now, &id.as_str().into(), execution, &ended, &mut record);
                 }
             }
+            "told" => {
+                let object: Id =
+                    rest.iter().find_map(|w| w.strip_prefix("object=")).expect("an object").into();
+                let arrival = Arrival { object, part: field("part", 0), ..Arrival::default() };
+                router.told(now, part_of(&arrival), rest[0].into());
+            }
             "left" => router.left(now, &rest[0].into(), &mut record),
             "begun" => router.begun(&rest[0].into()),
             "purge" => {
