The planner of placement never fills the room of who could not leave

At fault: plan(), which took loads off before places were found and let any cell with room take. Ruled out: the bound itself and the choice of who leaves. Change: a cell that sheds takes nothing.

--- a/crates/cells/src/plan.rs
+++ b/crates/cells/src/plan.rs
@@ -3,8 +3,9 @@
 //!
 //! A cell over its bound sheds tenants: those that cost least to fill for the load they take along, then
 //! fewer where fewer do (covering knapsack by density, with the last one exchanged and the needless left
-//! out). What is shed goes to the cell with most room, largest first, and no cell takes more at once than its
-//! cold servers bear. The lower bound is of a plan that may cut tenants in pieces: what each cell over its
+//! out). What is shed goes to the cell with most room, largest first; no cell takes more at once than its cold
+//! servers bear, and none that sheds takes any: who finds no place after all stays there, in room that would be
+//! gone. The lower bound is of a plan that may cut tenants in pieces: what each cell over its
 //! bound must shed, at the best density it has.
 
 use std::cmp::Ordering;
@@ -116,20 +117,22 @@
     }
     // Largest first: small ones find room between them.
     leaving.sort_by(|a, b| tenants[b.0].load.total_cmp(&tenants[a.0].load).then(a.0.cmp(&b.0)));
+    let mut sheds = vec![false; places.len()];
     for (tenant, _) in &leaving {
         loads[tenants[*tenant].cell] -= tenants[*tenant].load;
+        sheds[tenants[*tenant].cell] = true;
     }
     let room = |cell: usize, load: f64, arrived: f64| {
         let place: &Place = &places[cell];
         (most * place.capacity - load).min(place.cold * place.capacity - arrived)
     };
     let mut rooms: BinaryHeap<Room> =
-        (0..places.len()).map(|cell| Room(room(cell, loads[cell], 0.0), cell)).collect();
+        (0..places.len()).filter(|c| !sheds[*c]).map(|c| Room(room(c, loads[c], 0.0), c)).collect();
     let (mut arrived, mut steps, mut stuck, mut fill_kb) =
         (vec![0.0; places.len()], Vec::new(), Vec::new(), 0.0);
     for (tenant, why) in leaving {
         let told = &tenants[tenant];
-        let best = rooms.peek().filter(|best| best.0 >= told.load && best.1 != told.cell).map(|best| best.1);
+        let best = rooms.peek().filter(|best| best.0 >= told.load).map(|best| best.1);
         let Some(to) = best else {
             loads[told.cell] += told.load;
             stuck.push(tenant);
@@ -229,6 +232,18 @@
         assert!(super::plan(&[tenant(0, 1.0, 3)], &[place(1.0)], 0.8).is_err());
     }
 
+    /// The largest leaves the first cell, which would then have room for what leaves the second; but it finds no
+    /// place, and stays.
+    #[test]
+    fn a_cell_that_sheds_takes_nothing() {
+        let tenant = |n: usize, load, cell| Tenant { name: n.to_string(), load, fill_kb: 1.0, cell };
+        let place = || Place { name: "c".into(), capacity: 10.0, cold: 0.5 };
+        let tenants = [tenant(0, 9.0, 0), tenant(1, 4.5, 1), tenant(2, 4.5, 1), tenant(3, 7.0, 2)];
+        let plan = plan(&tenants, &[place(), place(), place()], 0.8).unwrap();
+        assert!(plan.steps.is_empty() && plan.stuck.len() == 2, "{plan:?}");
+        assert!(plan.fullest[1] <= plan.fullest[0]);
+    }
+
     /// The same plan as a linear program, tenants cut as it likes: what must leave a cell, and what others
     /// take.
     fn relaxed(tenants: &[Tenant], places: &[Place], most: f64) -> Option<f64> {
