Tenants' retries, who a tenant is and what an outcome says of a move stand in the cells' package

Cause: crates/router/src/confined.rs held a retry budget (0.2, 20), the choice of what a tenant is, and which outcomes tell for or against a cell: decisions, in an adapter. Looked through crates/router, wirehost and deployment for others: what is left are limits of transport (mailboxes, connections, patience, bytes).

--- a/crates/cells/src/limits.rs
+++ b/crates/cells/src/limits.rs
@@ -7,6 +7,7 @@
 //! count-min sketch (Cormode and Muthukrishnan, "An improved data stream summary", 2005), where names that
 //! meet are taken for one: a new tenant among a flood of new ones is declined with them, an old one is not.
 
+use chalkhall::interface::Arrival;
 use lru::LruCache;
 use std::num::NonZeroUsize;
 use std::time::Duration;
@@ -21,6 +22,11 @@
 /// What the sketch remembers halves in this time.
 const FADES: Duration = Duration::from_secs(10);
 
+/// Retries for each access of a tenant that was honoured, and how many may be saved up: a fifth more work at the
+/// most once all fails, and enough for a short break.
+const RETRIES: f64 = 0.2;
+const RETRIES_MOST: f64 = 20.0;
+
 /// One, as far as sums of parts of it go.
 const WHOLE: f64 = 1.0 - 1e-9;
 
@@ -35,6 +41,19 @@
     pub retries_most: f64,
 }
 
+impl Allowed {
+    /// A rate with a burst, as the operator gives them, and the usual retries.
+    pub fn at(rate: f64, burst: f64) -> Allowed {
+        Allowed { rate, burst, retries: RETRIES, retries_most: RETRIES_MOST }
+    }
+}
+
+/// Whose access it is: the customer's where the settings name customers, else all who ask for its group of
+/// objects, who are then limited together.
+pub fn tenant(arrival: &Arrival, by_customer: bool) -> [u8; 8] {
+    if by_customer { (arrival.customer as u64).to_le_bytes() } else { arrival.group.to_le_bytes() }
+}
+
 /// What becomes of an access at the door.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
--- a/crates/cells/src/moves.rs
+++ b/crates/cells/src/moves.rs
@@ -8,6 +8,7 @@
 
 use crate::map::Cell;
 use chalkhall::control::Judged;
+use chalkhall::interface::{Outcome, Remark};
 use std::time::Duration;
 
 /// The share that goes first.
@@ -130,8 +131,18 @@
         self.settles_at = now + self.settle;
     }
 
-    /// An access of the tenant has ended: at which cell, whether it was honoured, and from a copy there.
-    pub fn ended(&mut self, now: Duration, cell: Cell, honoured: bool, hit: bool) {
+    /// An execution for the tenant has ended: at which cell, and how. What was refused, called off, never sent or
+    /// not there says nothing of a cell.
+    pub fn ended(&mut self, now: Duration, cell: Cell, outcome: Outcome, remark: Remark) {
+        use Outcome::{Broken, Error, Honoured, TimedOut, Unreachable};
+        if matches!(outcome, Honoured | Error | TimedOut | Broken | Unreachable) {
+            let hit = matches!(remark, Remark::Hit | Remark::Stale);
+            self.told(now, cell, outcome == Honoured, hit);
+        }
+    }
+
+    /// Whether an access was honoured, and from a copy there.
+    fn told(&mut self, now: Duration, cell: Cell, honoured: bool, hit: bool) {
         use State::*;
         if cell == self.from {
             if honoured {
@@ -195,7 +206,7 @@
         let mut hit = 0.0;
         for _ in 0..count {
             hit += hits;
-            moved.ended(now, 2, true, hit >= 1.0);
+            moved.told(now, 2, true, hit >= 1.0);
             hit -= hit.floor();
         }
     }
@@ -203,7 +214,7 @@
     #[test]
     fn it_follows_the_warmth_of_the_new_cell_and_not_the_clock() {
         let mut moved = begun();
-        (0..1000).for_each(|n| moved.ended(s(0), 1, true, n % 5 != 0));
+        (0..1000).for_each(|n| moved.told(s(0), 1, true, n % 5 != 0));
         // Half as warm as the old one: however long it takes, no more goes there.
         see(&mut moved, s(1000), 5000, 0.4);
         assert_eq!((moved.state(), moved.share()), (State::Warming, FIRST));
@@ -243,7 +254,7 @@
         let mut moved = begun();
         see(&mut moved, s(1), 100, 1.0);
         for _ in 0..3 {
-            moved.ended(s(1), 2, false, false);
+            moved.told(s(1), 2, false, false);
         }
         assert_eq!((moved.state(), moved.share()), (State::RolledBack, 0.0));
         let mut moved = begun();
@@ -319,7 +330,7 @@
         match event {
             Event::Warm => see(&mut moved, s(1), 50, 0.8),
             Event::Cold => see(&mut moved, s(1), 50, 0.1),
-            Event::Fails => (0..4).for_each(|_| moved.ended(s(1), 2, false, false)),
+            Event::Fails => (0..4).for_each(|_| moved.told(s(1), 2, false, false)),
             Event::Pause => moved.pause(),
             Event::Resume => moved.resume(),
             Event::Reverse => moved.reverse(),
--- a/crates/router/src/confined.rs
+++ b/crates/router/src/confined.rs
@@ -2,7 +2,7 @@
 //! door.
 
 use chalkhall::interface::{Arrival, Id, Member, Outcome, Remark, Standing, Tier};
-use chalkhall_cells::limits::{Allowed, Tenants, Verdict};
+use chalkhall_cells::limits::{Allowed, Tenants, Verdict, tenant};
 use chalkhall_cells::map::{Cell, Map, Members, Told, What};
 use chalkhall_cells::moves::Move;
 use chalkhall_directives::{Bound, CellMembers, Cells as Wishes};
@@ -11,10 +11,6 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Retries for each access of a tenant that was honoured, and how many may be saved up.
-const RETRIES: f64 = 0.2;
-const RETRIES_MOST: f64 = 20.0;
-
 pub struct Confined {
     map: Map,
     moves: Vec<(What, Move)>,
@@ -107,13 +103,7 @@
             return Ok(None);
         }
         let Plan { map, moves } = plan(wishes, categories).map_err(|what| format!("cells: {what}"))?;
-        let allowed = wishes.tenant.map(|(rate, burst)| Allowed {
-            rate,
-            burst,
-            retries: RETRIES,
-            retries_most: RETRIES_MOST,
-        });
-        let tenants = allowed.map(|allowed| Tenants::new(allowed, seed));
+        let tenants = wishes.tenant.map(|(rate, burst)| Tenants::new(Allowed::at(rate, burst), seed));
         log::info!(cells = map.len(), epoch = map.epoch(), tenants_limited = tenants.is_some(); "cells");
         let moves = moves.into_iter().map(|(what, from, to)| (what, Move::new(from, to, settle))).collect();
         let members = BTreeMap::new();
@@ -205,20 +195,13 @@
         }
     }
 
-    /// An execution at a server ended: what a move that it belongs to goes by.
+    /// An execution at a server ended: the moves that it belongs to go by it.
     pub fn ended(&mut self, now: Duration, arrival: &Arrival, outcome: Outcome, remark: Remark) {
-        use Outcome::*;
         let Some(cell) = arrival.cell.filter(|_| !self.moves.is_empty()) else { return };
-        let honoured = outcome == Honoured;
-        // What was refused, called off or not there says nothing of a cell.
-        if !honoured && !matches!(outcome, Error | TimedOut | Broken | Unreachable) {
-            return;
-        }
-        let hit = matches!(remark, Remark::Hit | Remark::Stale);
         for at in 0..self.moves.len() {
             if self.moves[at].0.covers(arrival) {
                 self.step(at, |moved| {
-                    moved.ended(now, cell, honoured, hit);
+                    moved.ended(now, cell, outcome, remark);
                     moved.tick(now);
                 });
             }
@@ -239,10 +222,6 @@
         json!({"epoch": self.map.epoch(), "cells": cells, "moves": moves})
     }
 
-    fn tenant(&self, arrival: &Arrival) -> [u8; 8] {
-        if self.by_customer { (arrival.customer as u64).to_le_bytes() } else { arrival.group.to_le_bytes() }
-    }
-
     /// An access comes: its cell is set. Err: its tenant asks for too much, and may come back after so long.
     pub fn access(&mut self, now: Duration, arrival: &mut Arrival, once: bool) -> Result<(), Duration> {
         arrival.cell = self.map.cell_of(arrival);
@@ -251,7 +230,7 @@
         if let Some((_, moved)) = moved {
             arrival.cell = Some(moved.cell(xxh3_64(arrival.object.as_bytes())));
         }
-        let tenant = self.tenant(arrival);
+        let tenant = tenant(arrival, self.by_customer);
         // What must not run twice is the last to be turned away: no tenant's rate does it.
         match self.tenants.as_mut().filter(|_| !once).map(|t| t.access(now, &tenant, arrival.repeated)) {
             Some(Verdict::Late(wait)) => Err(wait),
@@ -260,7 +239,7 @@
     }
 
     pub fn honoured(&mut self, now: Duration, arrival: &Arrival) {
-        let tenant = self.tenant(arrival);
+        let tenant = tenant(arrival, self.by_customer);
         self.tenants.iter_mut().for_each(|tenants| tenants.honoured(now, &tenant));
     }
 }
