--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of `.ci/run` and the README, by name.
-.PHONY: build test lint run proof-store
+.PHONY: build test lint run proof-store mutants soak
 
 build:
 	cargo build --release --locked
@@ -15,6 +15,21 @@
 run: build
 	ROUTER_CONFIG=$(ROUTER_CONFIG) exec target/release/chalkhall-router
 
+# Mutants of the rules' code, of recovery and of what mates tell; needs cargo-mutants (cargo install cargo-mutants --locked).
+# Minutes, so outside CI; what is left alive stands in docs/testing.md.
+RULES = Router::(send|may_take|may_repeat|end|oldest|last_purge|close|left|result|purged|told)\b
+JOBS ?= 4
+mutants:
+	cargo mutants -p chalkhall -f src/control.rs --re '$(RULES)' --jobs $(JOBS) --timeout 30 -o target/mutants-rules -- --tests
+	cargo mutants -p chalkhall-members -f 'crates/members/src/*.rs' --jobs $(JOBS) --timeout 60 -o target/mutants-members -- --tests
+	cargo mutants -p chalkhall-store -f crates/store/src/recovery.rs -f crates/store/src/decide/purges.rs \
+		-f crates/store/src/decide/disk/start.rs --jobs $(JOBS) --timeout 120 -o target/mutants-store -- --tests
+
+# The router under load that never repeats itself, memory by quarters: ten minutes.
+SOAK_SECONDS ?= 600
+soak:
+	SOAK_SECONDS=$(SOAK_SECONDS) cargo test --release --locked -p chalkhall-router --test program soak -- --nocapture
+
 # Kills, crash points, days and figures of the store; ends on one line. Any SEED must hold.
 SEED ?= 1
 proof-store:
--- a/crates/router/tests/program/main.rs
+++ b/crates/router/tests/program/main.rs
@@ -3,6 +3,7 @@
 mod cells;
 mod fleet;
 mod own;
+mod soak;
 mod stand_ins;
 
 use serde_json::{Value, json};
--- /dev/null
+++ b/crates/router/tests/program/soak.rs
@@ -0,0 +1,120 @@
+//! Load that never repeats itself: ever new clients, objects and servers. What grows without an end shows as
+//! memory that does. Some seconds in the usual run; `SOAK_SECONDS=600` for the long one.
+
+use crate::stand_ins::*;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Answers whatever comes on a connection as a fill of 20 KB, until it ends.
+fn answer(stream: TcpStream, served: &AtomicUsize) -> std::io::Result<()> {
+    stream.set_nonblocking(false)?;
+    stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(LONG))?;
+    let (mut writer, mut reader) = (stream.try_clone()?, BufReader::new(stream));
+    let mut line = String::new();
+    let body = vec![7u8; 20_000];
+    while reader.read_line(&mut line)? > 0 {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        if let ["ASK", id, _, length] = words[..] {
+            let mut rest = vec![0; length.parse::<usize>().unwrap_or(0) + 2];
+            reader.read_exact(&mut rest)?;
+            let head =
+                format!("{id} OK tell=filled,etag=4be0c1927d55a6f3,made={} {}\r\n", unix_ms(), body.len());
+            writer.write_all(&[head.as_bytes(), &body, b"\r\n"].concat())?;
+            served.fetch_add(1, Ordering::Relaxed);
+        }
+        line.clear();
+    }
+    Ok(())
+}
+
+fn serve(listener: TcpListener, ended: Arc<AtomicBool>, served: Arc<AtomicUsize>) {
+    listener.set_nonblocking(true).unwrap();
+    while !ended.load(Ordering::Relaxed) {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                let served = served.clone();
+                // A connection that the router closes ends its thread, whatever was half read.
+                thread::spawn(move || drop(answer(stream, &served)));
+            }
+            Err(_) => thread::sleep(Duration::from_millis(2)),
+        }
+    }
+}
+
+/// Memory in KB that a process has in place.
+fn resident(process: u32) -> u64 {
+    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("VmRSS");
+    line.split_whitespace().next().and_then(|kb| kb.parse().ok()).expect("KB")
+}
+
+#[test]
+fn memory_is_flat_under_ever_new_clients_objects_and_servers() {
+    let seconds = std::env::var("SOAK_SECONDS").ok().and_then(|s| s.parse().ok()).unwrap_or(8);
+    let mut world = World::new();
+    world.file["limits"]["memory_mb"] = serde_json::json!(64);
+    world.file["settings"]["FamilyInfo"]["ClientKbPerS"] = serde_json::json!(10_000);
+    world.directives = "store {\n memory 25%\n}\n".into();
+    let (ended, served) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+    let threads: Vec<_> = world
+        .servers
+        .iter()
+        .map(|server| {
+            let (listener, ended, served) =
+                (server.listener.try_clone().unwrap(), ended.clone(), served.clone());
+            thread::spawn(move || serve(listener, ended, served))
+        })
+        .collect();
+    let program = world.start();
+    let (mut board, _) = world.board.accept();
+    let begun = Instant::now();
+    let (mut quarters, mut asked, mut rev) = (Vec::new(), 0u64, 1);
+    let mut words: HashMap<String, usize> = HashMap::new();
+    let mut name = world.server("c1").name.clone();
+    for quarter in 0..4 {
+        let until = begun + Duration::from_secs(seconds) * (quarter + 1) / 4;
+        while Instant::now() < until {
+            // A client of its own for each 16 accesses, all for objects that nobody asked for before.
+            let mut client = program.client();
+            (0..16).for_each(|n| drop(client.ask(asked * 16 + n + 1, "page", "", b"")));
+            (0..16).for_each(|_| *words.entry(client.word()).or_default() += 1);
+            asked += 1;
+            if asked.is_multiple_of(50) {
+                // At the cache's address another one stands, of a name of its own.
+                rev += 1;
+                let server = world.server("c1");
+                let mut gone = server.entry("left");
+                gone["host"] = serde_json::json!(name);
+                name = format!("c-{rev}");
+                let mut new = server.entry("active");
+                new["host"] = serde_json::json!(name);
+                let told = list(rev, &[gone, new]);
+                if !board.still_takes(&told) {
+                    // A board that says nothing for two seconds is watched anew.
+                    board = world.board.accept().0;
+                    board.say(&told);
+                }
+            }
+        }
+        quarters.push(resident(program.child.id()));
+    }
+    ended.store(true, Ordering::Relaxed);
+    threads.into_iter().for_each(|thread| thread.join().unwrap());
+    let counted = (asked * 16, served.load(Ordering::Relaxed), rev, &words);
+    eprintln!(
+        "soak: {seconds} s, {counted:?} accesses, answers of servers, lists and answers; KB by quarters {quarters:?}"
+    );
+    let honoured = words.get("ACK").copied().unwrap_or(0);
+    assert!(honoured > 1000 && counted.1 > 1000 && rev > 2, "hardly any load: {counted:?}");
+    // Own copies fill their 16 MB in the first quarter of a long run, later in a short one.
+    let (most, grown) = (48 << 10, quarters[3].saturating_sub(quarters[0]));
+    assert!(quarters[3] < most, "{quarters:?} KB");
+    let allowed = if seconds >= 60 { quarters[0] / 10 + 1024 } else { 20 << 10 };
+    assert!(grown < allowed, "grown by {grown} KB after the first quarter: {quarters:?}");
+}
--- a/crates/store/src/recovery.rs
+++ b/crates/store/src/recovery.rs
@@ -199,6 +199,7 @@
         assert_eq!((first.entries.len(), first.torn, first.damaged, first.sealed), (4, 100, 1, false));
         seal(&*file, 9, 4, &first).expect("no fault");
         let again = recover(&*file, 9, 4).expect("no fault");
+        assert_eq!((first.class, again.class, again.end), (1, 1, first.end), "as it was begun");
         assert_eq!((again.entries, again.sealed), (first.entries, true));
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -247,7 +247,6 @@
             pass_through: told.pass_through,
             joins: told.joins,
             started: now,
-            fills_cut: now,
             patience: PATIENCE,
             mean_work: vec![(0.0, 0.0); told.categories.len()],
             ..Router::default()
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -97,6 +97,7 @@
         member("origin", Tier::Origin, 1.0, None),
     ];
     let mut sent: Vec<(Duration, f64)> = Vec::new();
+    let mut senders = std::collections::BTreeSet::new();
     for number in 0..ROUTERS {
         let mut orders = Orders::default();
         let mut router = Router::start(ms(0), &told(number), &mut orders);
@@ -121,6 +122,9 @@
             for (id, source) in std::mem::take(&mut orders.executions) {
                 if *source == *"cold" {
                     sent.push((now, 0.2));
+                    if now < started + ms(4000) {
+                        senders.insert(number);
+                    }
                 }
                 let ended = Ended {
                     outcome: Outcome::Honoured,
@@ -134,6 +138,8 @@
             }
         }
     }
+    let early = sent.iter().filter(|(at, _)| *at < started + ms(4000)).count();
+    assert!(senders.len() * 10 > early * 8, "{early} at first, of {} routers: not in turn", senders.len());
     sent.sort_by_key(|(at, _)| *at);
     let present = |at: Duration| {
         let warm = ((at - started).as_secs_f64() / 20.0).min(1.0);
@@ -151,6 +157,29 @@
     assert!(work > 20.0 * 0.25 * 22.0, "only {work:.0} s of sending went to the cold parent");
 }
 
+/// What takes more than an eighth of what the cold parent bears in a span waits until it bears more: few such would
+/// stray too far from the mean.
+#[test]
+fn a_large_access_is_not_drawn_for_a_cold_parent() {
+    let list = [
+        member("c", Tier::Cache, 40.0, None),
+        member("warm", Tier::Parent, 1.0, None),
+        member("cold", Tier::Parent, 40.0, Some(ms(10_000))),
+    ];
+    for number in 0..ROUTERS {
+        let mut orders = Orders::default();
+        let mut router = Router::start(ms(0), &told(number), &mut orders);
+        router.list(ms(0), ListKind::Whole, &list, &mut orders);
+        for second in 0..3 {
+            let id: Id = format!("{number}-{second}").into();
+            let arrival =
+                Arrival { id: id.clone(), object: id, kb: 2000.0, left: ms(9000), ..Arrival::default() };
+            router.access(ms(10_000 + second * 1000), arrival, &mut orders);
+        }
+        assert!(orders.executions.iter().all(|(_, source)| **source != *"cold"), "router {number}");
+    }
+}
+
 /// One that is sent something every six seconds needs no ramp: its whole traffic is less than the trickle.
 #[test]
 fn a_trickle_ends_where_it_no_longer_binds() {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -13,7 +13,7 @@
 //!   expect PATTERN                one that matches, after those expected before; `*` is any word or the
 //!                                 rest, $X binds a word at first and stands for it afterwards
 //!   never PATTERN                 none      count PATTERN MIN MAX      so many
-//! A server's cells stand behind @, as in c1@0,2; an access's as cell=2.
+//! A server's cohort stands behind ~, as in c1~2, its cells behind @, as in c1@0,2; an access's as cell=2.
 //! Servers are named by a letter and a number: c caches, p parents, o the origin, m own copies (m1 in memory,
 //! m2 on a disk), of a link that carries two answers. What they hold is set by
 //!   own m1 object=X [part=0] [age=0] [same=0]      own gone object=X
@@ -43,13 +43,15 @@
         let oldest = fill.oldest.map_or("-".into(), |o| o.as_micros().to_string());
         let (source, rank, limit) = (&fill.source, fill.rank, limit.as_millis());
         let held = if fill.only_held { "held" } else { "any" };
+        let join = if fill.join { "join" } else { "alone" };
         let line = format!(
-            "execute {access} {server} from {source} rank {rank} oldest {oldest} {held} limit {limit}"
+            "execute {access} {server} from {source} rank {rank} oldest {oldest} {held} limit {limit} {join}"
         );
         self.lines.push(line);
     }
-    fn decline(&mut self, access: &Id, _advice: Option<Duration>) {
-        self.lines.push(format!("decline {access}"));
+    fn decline(&mut self, access: &Id, advice: Option<Duration>) {
+        let advice = advice.map_or("none".into(), |advice| advice.as_millis().to_string());
+        self.lines.push(format!("decline {access} advice {advice}"));
     }
     fn give_up(&mut self, access: &Id) {
         self.lines.push(format!("give-up {access}"));
@@ -93,7 +95,7 @@
     }
 }
 
-/// Categories: 0 kept until purged, 1 fresh for 5 s, 2 unrepeatable, 3 deduplicated.
+/// Categories: 0 kept until purged, 1 fresh for 5 s, 2 unrepeatable, 3 deduplicated, 4 the same by cohort and kept.
 fn deployment() -> Deployment {
     let cold = ColdStart { from: 0.25, warm_within: ms(10_000), multiple: 2.0, span: ms(1000) };
     Deployment {
@@ -109,6 +111,7 @@
             category(Effect::Idempotent, Some(ms(5000)), true),
             category(Effect::Unrepeatable, None, false),
             category(Effect::Deduplicated, None, false),
+            Category { group: Group::Cohort, ..category(Effect::Deduplicated, None, true) },
         ],
         customers: vec![],
         tick: ms(2),
@@ -134,6 +137,7 @@
 
 fn member(word: &str) -> Member {
     let (word, cells) = word.split_once('@').unwrap_or((word, ""));
+    let (word, cohort) = word.split_once('~').unwrap_or((word, "0"));
     let (name, state) = word.split_once('=').unwrap_or((word, ""));
     Member {
         server: name.into(),
@@ -144,7 +148,7 @@
             "m" => Tier::Own,
             _ => Tier::Origin,
         },
-        cohort: 0,
+        cohort: cohort.parse().expect("a cohort"),
         standing: match state {
             "draining" => Standing::Draining,
             "gone" => Standing::Gone,
@@ -214,6 +218,8 @@
             told.list_on_request = field("ask", 0) == 1;
             told.categories[1].stale_for = ms(field("stale", 0));
             told.routers_at[1] = field("here", 1) as usize;
+            told.may_cancel = field("cancel", 1) == 1;
+            told.cold_cache.span = ms(field("span", 1000));
             continue;
         }
         let router = router.get_or_insert_with(|| Router::start(now, &told, &mut record));
