--- a/crates/members/tests/play.rs
+++ b/crates/members/tests/play.rs
@@ -155,20 +155,15 @@
 fn told(number: usize, seed: u64) -> Deployment {
     let cold = ColdStart { from: 0.3, warm_within: ms(10_000), multiple: 2.0, span: ms(1000) };
     let page = Category {
-        effect: Effect::Idempotent,
-        group: Group::All,
         window: ms(2000),
         soft_limit: ms(500),
         soft_stretch: 2.0,
         hard_limit: ms(3000),
         benefit: 1.0,
         late_benefit: 0.2,
-        fresh: None,
-        stale_for: ms(0),
-        stale_benefit: 0.5,
         cacheable: true,
         in_parts: true,
-        streamed: false,
+        ..Category::default()
     };
     Deployment {
         number: number as u64,
@@ -176,14 +171,10 @@
         routers: ROUTERS,
         location: number / ROUTERS_HERE,
         routers_at: vec![ROUTERS_HERE; LOCATIONS],
-        hub_of: vec![0; LOCATIONS],
-        link_kb_per_s: vec![],
         categories: vec![page],
-        customers: vec![],
         tick: ms(1),
         client_kb_per_s: 5000.0,
         max_executions: 6,
-        second_copies: false,
         may_cancel: true,
         longest_advice: Some(ms(500)),
         cold_cache: cold,
@@ -192,12 +183,7 @@
         purge_grace: ms(500),
         purge_done: ms(6000),
         pass_through: true,
-        joins: false,
-        siblings: Siblings::None,
-        telling: Telling::All,
-        hints: Hints::Nominal,
-        list_on_request: false,
-        ask_within: ms(10_000),
+        ..Deployment::default()
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -7,9 +7,10 @@
 pub type Id = Rc<str>;
 
 /// What running an access twice would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Effect {
     /// It may run again.
+    #[default]
     Idempotent,
     /// It carries a mark by which a group of cache servers drops its repeats, for a while.
     Deduplicated,
@@ -18,15 +19,16 @@
 }
 
 /// Which cache servers drop the repeats of a deduplicated access that one of them has seen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Group {
+    #[default]
     All,
     Location,
     Cohort,
 }
 
 /// One category of accesses.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Category {
     pub effect: Effect,
     pub group: Group,
@@ -71,8 +73,9 @@
 }
 
 /// What the capacity hints in the list mean.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Hints {
+    #[default]
     None,
     Nominal,
     Rough,
@@ -80,23 +83,25 @@
 }
 
 /// Which caches can be named as the source of a fill.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Siblings {
+    #[default]
     None,
     Location,
     Any,
 }
 
 /// How much the answers tell of hits and fills.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Telling {
+    #[default]
     Nothing,
     Hits,
     All,
 }
 
-/// All that a router is told of its deployment at its start.
-#[derive(Clone, Debug)]
+/// All that a router is told of its deployment at its start. By default nothing is there and nothing allowed.
+#[derive(Clone, Debug, Default)]
 pub struct Deployment {
     /// This router's number and how many there are.
     pub number: u64,
--- a/tests/confined.rs
+++ b/tests/confined.rs
@@ -40,19 +40,14 @@
     let cold = ColdStart { from: 0.25, warm_within: ms(10_000), multiple: 2.0, span: ms(1000) };
     let category = |effect, cacheable| Category {
         effect,
-        group: Group::All,
         window: ms(2000),
         soft_limit: ms(500),
         soft_stretch: 2.0,
         hard_limit: ms(4000),
         benefit: 1.0,
         late_benefit: 0.2,
-        fresh: None,
-        stale_for: ms(0),
-        stale_benefit: 0.5,
         cacheable,
-        in_parts: false,
-        streamed: false,
+        ..Category::default()
     };
     Deployment {
         number: 0,
@@ -60,14 +55,10 @@
         routers: 2,
         location: 1,
         routers_at: vec![0, 2],
-        hub_of: vec![0, 0],
-        link_kb_per_s: vec![],
         categories: vec![category(Effect::Idempotent, true), category(Effect::Unrepeatable, false)],
-        customers: vec![],
         tick: ms(2),
         client_kb_per_s: 1000.0,
         max_executions: 6,
-        second_copies: false,
         may_cancel: true,
         longest_advice: Some(ms(1000)),
         cold_cache: cold,
@@ -76,12 +67,7 @@
         purge_grace: ms(500),
         purge_done: ms(6000),
         pass_through: true,
-        joins: false,
-        siblings: Siblings::None,
-        telling: Telling::All,
-        hints: Hints::Nominal,
-        list_on_request: false,
-        ask_within: ms(10_000),
+        ..Deployment::default()
     }
 }
 
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -79,7 +79,6 @@
 fn category(effect: Effect, fresh: Option<Duration>, cacheable: bool) -> Category {
     Category {
         effect,
-        group: Group::All,
         window: ms(2000),
         soft_limit: ms(500),
         soft_stretch: 2.0,
@@ -87,11 +86,8 @@
         benefit: 1.0,
         late_benefit: 0.2,
         fresh,
-        stale_for: ms(0),
-        stale_benefit: 0.5,
         cacheable,
-        in_parts: false,
-        streamed: false,
+        ..Category::default()
     }
 }
 
@@ -104,8 +100,6 @@
         routers: 2,
         location: 1,
         routers_at: vec![0, 1, 1],
-        hub_of: vec![0, 0, 0],
-        link_kb_per_s: vec![],
         categories: vec![
             category(Effect::Idempotent, None, true),
             category(Effect::Idempotent, Some(ms(5000)), true),
@@ -113,11 +107,9 @@
             category(Effect::Deduplicated, None, false),
             Category { group: Group::Cohort, ..category(Effect::Deduplicated, None, true) },
         ],
-        customers: vec![],
         tick: ms(2),
         client_kb_per_s: 1000.0,
         max_executions: 6,
-        second_copies: false,
         may_cancel: true,
         longest_advice: Some(ms(1000)),
         cold_cache: cold,
@@ -126,12 +118,7 @@
         purge_grace: ms(500),
         purge_done: ms(6000),
         pass_through: true,
-        joins: false,
-        siblings: Siblings::None,
-        telling: Telling::All,
-        hints: Hints::Nominal,
-        list_on_request: false,
-        ask_within: ms(10_000),
+        ..Deployment::default()
     }
 }
 
