--- a/crates/background/src/lib.rs
+++ b/crates/background/src/lib.rs
@@ -1,8 +1,9 @@
 //! Which background work goes next, and when none may: a scheduler without I/O, threads or clock.
 //!
-//! Work comes in kinds. Each kind has a priority, budgets (bytes, operations and time of a core, each as a rate
-//! with a purse), a deadline after which waiting work counts as urgent, and a bound after which it goes even if
-//! all else says no: nothing starves. While the program's own turns come late, only what has passed that bound goes.
+//! Work comes in kinds. Each kind has a priority, budgets (bytes, operations and time of a core, each as a
+//! rate with a purse), a deadline after which waiting work counts as urgent, and a bound after which it goes
+//! even if all else says no: nothing starves. While the program's own turns come late, only what has passed
+//! that bound goes.
 //!
 //! ```
 //! use chalkhall_background::{Cost, Kind, Rate, Scheduler};
--- a/crates/cells/src/limits.rs
+++ b/crates/cells/src/limits.rs
@@ -22,8 +22,8 @@
 /// What the sketch remembers halves in this time.
 const FADES: Duration = Duration::from_secs(10);
 
-/// Retries for each access of a tenant that was honoured, and how many may be saved up: a fifth more work at the
-/// most once all fails, and enough for a short break.
+/// Retries for each access of a tenant that was honoured, and how many may be saved up: a fifth more work at
+/// the most once all fails, and enough for a short break.
 const RETRIES: f64 = 0.2;
 const RETRIES_MOST: f64 = 20.0;
 
--- a/crates/cells/src/moves.rs
+++ b/crates/cells/src/moves.rs
@@ -131,8 +131,8 @@
         self.settles_at = now + self.settle;
     }
 
-    /// An execution for the tenant has ended: at which cell, and how. What was refused, called off, never sent or
-    /// not there says nothing of a cell.
+    /// An execution for the tenant has ended: at which cell, and how. What was refused, called off, never
+    /// sent or not there says nothing of a cell.
     pub fn ended(&mut self, now: Duration, cell: Cell, outcome: Outcome, remark: Remark) {
         use Outcome::{Broken, Error, Honoured, TimedOut, Unreachable};
         if matches!(outcome, Honoured | Error | TimedOut | Broken | Unreachable) {
--- a/crates/cells/src/plan.rs
+++ b/crates/cells/src/plan.rs
@@ -3,10 +3,10 @@
 //!
 //! A cell over its bound sheds tenants: those that cost least to fill for the load they take along, then
 //! fewer where fewer do (covering knapsack by density, with the last one exchanged and the needless left
-//! out). What is shed goes to the cell with most room, largest first; no cell takes more at once than its cold
-//! servers bear, and none that sheds takes any: who finds no place after all stays there, in room that would be
-//! gone. The lower bound is of a plan that may cut tenants in pieces: what each cell over its
-//! bound must shed, at the best density it has.
+//! out). What is shed goes to the cell with most room, largest first; no cell takes more at once than its
+//! cold servers bear, and none that sheds takes any: who finds no place after all stays there, in room that
+//! would be gone. The lower bound is of a plan that may cut tenants in pieces: what each cell over its bound
+//! must shed, at the best density it has.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -232,8 +232,8 @@
         assert!(super::plan(&[tenant(0, 1.0, 3)], &[place(1.0)], 0.8).is_err());
     }
 
-    /// The largest leaves the first cell, which would then have room for what leaves the second; but it finds no
-    /// place, and stays.
+    /// The largest leaves the first cell, which would then have room for what leaves the second; but it finds
+    /// no place, and stays.
     #[test]
     fn a_cell_that_sheds_takes_nothing() {
         let tenant = |n: usize, load, cell| Tenant { name: n.to_string(), load, fill_kb: 1.0, cell };
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -53,6 +53,9 @@
     /// Own copies on disk: what is there, whether it is whole, and what to do about it
     #[command(subcommand)]
     Store(Store),
+    /// Peers: what a live router tells its mates, and hears
+    #[command(subcommand)]
+    Peers(Peers),
     /// Cells: what a map makes of a list of servers, before a router takes it over
     #[command(subcommand)]
     Cells(Cells),
@@ -64,6 +67,21 @@
     Man { folder: PathBuf },
 }
 
+#[derive(Subcommand)]
+pub enum Peers {
+    /// Tells how many mates are heard, and what was dropped
+    #[command(after_help = "Exit codes: 0 done; 1 the router does not answer, or talks to nobody.
+
+Example: chalkhall peers stat --socket /run/chalkhall/control.sock")]
+    Stat {
+        /// The router's control socket
+        #[arg(long)]
+        socket: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum Cells {
     /// Tells a live router's cells, and where its moves stand
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,6 @@
 //! `chalkhall`: every command of an operator.
 
-use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Store};
+use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Peers, Store};
 use chalkhall_cli::{Failure, cells, check, store, torture};
 use clap::{CommandFactory, Parser};
 use std::path::{Path, PathBuf};
@@ -15,6 +15,7 @@
             Ok(())
         }
         Command::Store(command) => of_store(command),
+        Command::Peers(Peers::Stat { socket, json }) => store::ask_live(&socket, "peers stat", json),
         Command::Cells(Cells::Stat { socket, json }) => store::ask_live(&socket, "cells stat", json),
         Command::Cells(Cells::Plan { file, most, why, json }) => cells::plan_moves(&file, &most, why, json),
         Command::Cells(Cells::Check { file, servers, config, json }) => {
--- a/crates/directives/src/lib.rs
+++ b/crates/directives/src/lib.rs
@@ -1,6 +1,6 @@
 //! The operator's own file, line-based in the manner of classic daemons: one directive a line, sections in
-//! braces, `include FILE`, comments behind `#`. It is checked whole: every fault of a file is told at once, with
-//! its line and column and the nearest word there is.
+//! braces, `include FILE`, comments behind `#`. It is checked whole: every fault of a file is told at once,
+//! with its line and column and the nearest word there is.
 //!
 //! ```
 //! let (told, faults) = chalkhall_directives::read_text("store {\n  memory 64MB\n}\n");
--- a/crates/members/src/codec.rs
+++ b/crates/members/src/codec.rs
@@ -1,12 +1,12 @@
-//! The datagrams: pure functions over bytes, both ways. Nothing from a peer is trusted: what is cut, too long,
-//! of another version or out of bounds is an error as a whole.
+//! The datagrams: pure functions over bytes, both ways. Nothing from a peer is trusted: what is cut, too
+//! long, of another version or out of bounds is an error as a whole.
 //!
 //! | bytes | what |
 //! | --- | --- |
 //! | 1 | 0xC1: this format |
 //! | 1 | bit 0: the sender is looking for mates; all others 0 |
 //! | 2 | the sender's location |
-//! | 5 each | findings, to the end: 4 bytes of a part's key (31 bits), 1 of the mark of the cache that has it |
+//! | 5 each | findings, to the end: 4 bytes of a part's key (31 bits), 1 of the mark of its cache |
 //!
 //! Numbers have their high byte first. A cache's mark is a byte of its name's hash; 0 is none's.
 
@@ -16,7 +16,8 @@
 pub const MOST_BYTES: usize = 256;
 const FORMAT: u8 = 0xC1;
 const LOOKING: u8 = 1;
-const HEAD: usize = 4;
+/// What a datagram without findings has.
+pub const HEAD: usize = 4;
 const FINDING: usize = 5;
 /// So many findings fit.
 pub const FINDINGS_MOST: usize = (MOST_BYTES - HEAD) / FINDING;
@@ -108,7 +109,9 @@
         }
 
         #[test]
-        fn any_bytes_are_read_whole_or_refused(mut bytes in prop::collection::vec(any::<u8>(), 0..300), own: bool) {
+        fn any_bytes_are_read_whole_or_refused(
+            mut bytes in prop::collection::vec(any::<u8>(), 0..300), own: bool,
+        ) {
             if own && bytes.len() > 1 {
                 (bytes[0], bytes[1]) = (FORMAT, bytes[1] & LOOKING);
             }
--- a/crates/members/src/talk.rs
+++ b/crates/members/src/talk.rs
@@ -1,13 +1,13 @@
 //! Who there is at this location, what is said to whom and when, and what is believed. No I/O: calls in,
 //! datagrams out through a [`Mouth`], what is believed through an [`Ear`].
 //!
-//! Mates find one another by a datagram to all routers, which says where its sender stands: every router of the
-//! same location takes it for a mate and tells it what it tells the others. It is said again, after twice as
-//! long each time, while some were never heard; never again once all were, whoever is silent: a datagram to
-//! all costs as much as a minute of talk. A mate that is silent for [`SILENT`] gets a sign of life now and then,
-//! so that both sides of a split find back without asking all.
+//! Mates find one another by a datagram to all routers, which says where its sender stands: every router of
+//! the same location takes it for a mate and tells it what it tells the others. It is said again, after twice
+//! as long each time, while some were never heard; never again once all were, whoever is silent: a datagram
+//! to all costs as much as a minute of talk. A mate that is silent for [`SILENT`] gets a sign of life now and
+//! then, so that both sides of a split find back without asking all.
 
-use crate::codec::{Datagram, FINDINGS_MOST, Finding, mark};
+use crate::codec::{Datagram, FINDINGS_MOST, Finding, HEAD, mark};
 use chalkhall::control::Router;
 use chalkhall::interface::Id;
 use std::collections::{BTreeMap, VecDeque};
@@ -25,6 +25,9 @@
 /// Findings waiting to be told; the oldest go first, which costs a mate a hint. And datagrams a period.
 const QUEUED_MOST: usize = 128;
 const DATAGRAMS_MOST: usize = 2;
+/// Findings believed of one mate in a period: twice what it may tell, since datagrams bunch. More would push
+/// out of the id list what this router has seen itself.
+const BELIEVED_MOST: usize = 2 * DATAGRAMS_MOST * FINDINGS_MOST;
 
 /// To whom a datagram goes: every router of the tier, or one by its number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -68,16 +71,26 @@
     pub strangers: u64,
     /// Of another format, cut or too long, or with values out of bounds.
     pub faulty: u64,
+    /// Findings past what a mate may tell in a period.
+    pub flood: u64,
     /// Own findings that were never told.
     pub untold: u64,
 }
 
+#[derive(Clone, Copy, Debug, Default)]
+struct Mate {
+    heard: Duration,
+    /// Since when findings are counted, and how many were believed.
+    since: Duration,
+    believed: usize,
+}
+
 pub struct Talk {
     about: About,
     /// By mark; none where two caches have the same: of those nothing is told or believed.
     caches: BTreeMap<u8, Option<Id>>,
     /// When each router of the location was last heard; no more than there are.
-    mates: BTreeMap<u64, Duration>,
+    mates: BTreeMap<u64, Mate>,
     queue: VecDeque<Finding>,
     next: Duration,
     quiet: u32,
@@ -138,7 +151,7 @@
 
     /// How many mates were heard lately, and how many ever.
     pub fn mates(&self, now: Duration) -> (usize, usize) {
-        let lately = self.mates.values().filter(|heard| now < **heard + SILENT);
+        let lately = self.mates.values().filter(|mate| now < mate.heard + SILENT);
         (lately.count(), self.mates.len())
     }
 
@@ -168,9 +181,9 @@
             let findings = self.queue.drain(..self.queue.len().min(FINDINGS_MOST)).collect();
             let bytes = Datagram { looking: false, location, findings }.encode();
             // Whoever is away is only shown a sign of life.
-            let (short, signs) = (&bytes[..bytes.len().min(4)], alive && n == 0);
-            for (number, heard) in &self.mates {
-                match now < *heard + SILENT {
+            let (short, signs) = (&bytes[..HEAD], alive && n == 0);
+            for (number, mate) in &self.mates {
+                match now < mate.heard + SILENT {
                     true => mouth.say(To::One(*number), &bytes),
                     false if signs => mouth.say(To::One(*number), short),
                     false => {}
@@ -196,12 +209,19 @@
             self.dropped.strangers += 1;
             return;
         }
-        self.mates.insert(from, now);
+        let mate = self.mates.entry(from).or_default();
+        mate.heard = now;
+        if now >= mate.since + PERIOD {
+            (mate.since, mate.believed) = (now, 0);
+        }
+        let believed = datagram.findings.len().min(BELIEVED_MOST - mate.believed);
+        mate.believed += believed;
+        self.dropped.flood += (datagram.findings.len() - believed) as u64;
         if datagram.looking {
             // It learns of this router by the next sign of life, which comes at once.
             self.quiet = SIGN_OF_LIFE;
         }
-        for Finding { part, cache } in datagram.findings {
+        for Finding { part, cache } in datagram.findings.into_iter().take(believed) {
             if let Some(Some(cache)) = self.caches.get(&cache) {
                 ear.found(now, part, cache.clone());
             }
@@ -372,6 +392,19 @@
         assert_eq!(talk.dropped.untold, 10_000 - QUEUED_MOST as u64);
     }
 
+    #[test]
+    fn a_mate_that_floods_is_believed_as_far_as_one_may_tell() {
+        let (mut talk, mut ear) = (talk(0, 0), Heard::default());
+        let findings: Vec<_> = (0..50).map(|part| Finding { part, cache: mark("c1") }).collect();
+        let told = Datagram { location: 1, findings, ..Datagram::default() }.encode();
+        (0..1000).for_each(|_| talk.heard(ms(100), 1, &told, &mut ear));
+        assert_eq!((ear.0.len(), talk.dropped.flood), (BELIEVED_MOST, 50_000 - BELIEVED_MOST as u64));
+        // Another mate is not made to pay for it, and it is heard again later.
+        talk.heard(ms(100), 2, &told, &mut ear);
+        talk.heard(ms(100) + PERIOD, 1, &told, &mut ear);
+        assert_eq!(ear.0.len(), BELIEVED_MOST + 100);
+    }
+
     #[test]
     fn of_caches_with_one_mark_nothing_is_told_or_believed() {
         let names: Vec<Id> = (0..600).map(|n| format!("cache-{n}").as_str().into()).collect();
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -51,7 +51,7 @@
     Ended(Ended),
     /// An order to the disk of own copies has ended.
     Disk(End),
-    /// A datagram from the router of this number; past all: from a stranger.
+    /// A datagram from the router of this number.
     Peer(u64, Box<[u8]>),
     /// An operator asks.
     Question(Question),
@@ -545,7 +545,7 @@
                     let ((lately, ever), d) = (talk.mates(self.desk.now), talk.dropped());
                     json!({
                         "mates": lately, "known": ever,
-                        "strangers": d.strangers, "faulty": d.faulty, "untold": d.untold,
+                        "strangers": d.strangers, "faulty": d.faulty, "flood": d.flood, "untold": d.untold,
                     })
                 }
                 None => json!({"error": "this router talks to no other"}),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -87,12 +87,11 @@
     });
     let (saying, sayings) = peers::saying();
     let socket_of_peers = match &told.peers {
-        Some(peers) if talk.is_some() => {
-            Some(peers::bind(peers).await.map_err(|e| format!("peer_listen: {}: {e}", peers.listen))?)
-        }
+        Some(peers) if talk.is_some() => peers::bind(peers).await,
         _ => None,
     };
-    let beside = Beside { own, confined, talk: talk.map(|talk| (talk, saying)) };
+    let talk = talk.filter(|_| socket_of_peers.is_some()).map(|talk| (talk, saying));
+    let beside = Beside { own, confined, talk };
     let mut decisions = Decider::start(clock, deployment, limits, phase_of, decider.clone(), beside);
     // The list comes before the first access.
     let known = std::mem::take(&mut told.known).into_iter().filter_map(|(_, notice)| notice);
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,13 +1,14 @@
-//! The socket on which routers talk to one another: it carries what `chalkhall_members` says, and hands on what
-//! comes with the number of who sent it. Nothing waits for it; what it cannot take at once is lost, as any
-//! datagram may be.
+//! The socket on which routers talk to one another: it carries what `chalkhall_members` says, and hands on
+//! what comes with the number of who sent it. Nothing waits for it; what it cannot take at once is lost, as
+//! any datagram may be: whoever waits for a place in the decider's mailbox goes before it. Who is not in the
+//! list is dropped here.
 
+use crate::brief::Brief;
 use crate::decider::Message;
 use crate::told::Peers;
 use chalkhall_members::codec::MOST_BYTES;
 use chalkhall_members::{Mouth, To};
 use std::collections::HashMap;
-use std::io;
 use std::net::SocketAddr;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
@@ -30,8 +31,11 @@
     (Saying(sender), receiver)
 }
 
-pub async fn bind(peers: &Peers) -> io::Result<UdpSocket> {
-    UdpSocket::bind(peers.listen).await
+/// None: nobody is talked to, which costs hints. A start does not fail for them, as where an earlier process
+/// still has the address for a moment.
+pub async fn bind(peers: &Peers) -> Option<UdpSocket> {
+    let bound = UdpSocket::bind(peers.listen).await;
+    bound.map_err(|what| log::warn!("peer_listen: {}: {what}; mates are not talked to", peers.listen)).ok()
 }
 
 /// Ends with the decider.
@@ -42,6 +46,7 @@
     decider: mpsc::Sender<Message>,
 ) {
     let numbers: HashMap<SocketAddr, u64> = peers.each.iter().copied().zip(0..).collect();
+    let mut strangers = Brief::default();
     // One byte more than there may be tells what is too long from what is not.
     let mut buffer = [0; MOST_BYTES + 1];
     loop {
@@ -60,9 +65,11 @@
             }
             come = socket.recv_from(&mut buffer) => match come {
                 Ok((length, from)) => {
-                    // Nobody has the number past all: who is not in the list is dropped as a stranger.
-                    let from = numbers.get(&from).copied().unwrap_or(u64::MAX);
-                    let _ = decider.try_send(Message::Peer(from, buffer[..length].into()));
+                    let Some(number) = numbers.get(&from) else {
+                        strangers.log(&format!("peers: a datagram from {from}, which is none of them"));
+                        continue;
+                    };
+                    let _ = decider.try_send(Message::Peer(*number, buffer[..length].into()));
                 }
                 // As a refusal that an earlier datagram met.
                 Err(what) => log::debug!("peers: {what}"),
--- a/crates/router/src/told.rs
+++ b/crates/router/src/told.rs
@@ -155,7 +155,7 @@
 fn peers(file: &Fields, settings: &Fields) -> Result<Option<Peers>, String> {
     let limits = settings.get("Limits").and_then(Value::as_object);
     let allowed = limits.map_or(Ok(false), |limits| deployment::flag(limits, "PeerMessages"));
-    let told = file.contains_key("peer_listen") && file.contains_key("peers");
+    let told = ["peer_listen", "peers", "peers_all"].iter().all(|key| file.contains_key(*key));
     if !allowed.map_err(|what| format!("settings: {what}"))? || !told {
         return Ok(None);
     }
--- a/crates/router/tests/program/fleet.rs
+++ b/crates/router/tests/program/fleet.rs
@@ -1,4 +1,5 @@
-//! What a fleet of hundreds asks of each router: one process as the line `run` starts it, and talk with mates.
+//! What a fleet of hundreds asks of each router: one process as the line `run` starts it, and talk with
+//! mates.
 
 use crate::stand_ins::*;
 use serde_json::json;
@@ -119,6 +120,18 @@
     assert_eq!((&told[..4], told.len()), (&[0xC1, 0, 0, 0][..], 9), "one finding");
 }
 
+#[test]
+fn a_peers_address_that_is_taken_costs_hints_and_no_start() {
+    let (mut world, _mate, all) = with_a_mate("on");
+    world.file["peer_listen"] = json!(all.local_addr().unwrap().to_string());
+    let program = world.start();
+    let mut client = program.client();
+    client.ask(1, "page", "", b"");
+    world.server("c1").accept().serve(b"body");
+    assert_eq!(client.word(), "ACK");
+    assert_eq!(open_at(program.child.id(), "udp", "07"), Vec::<String>::new());
+}
+
 #[test]
 fn untold_or_not_allowed_nobody_is_talked_to() {
     for (tell, allowed) in [("off", true), ("on", false)] {
--- a/crates/store/tests/guards.rs
+++ b/crates/store/tests/guards.rs
@@ -68,9 +68,9 @@
     }
 }
 
-/// The board was heard until 20 s after the copies were made. A purge came while the program was down, so long
-/// ago that the board's first list, which reaches back ten minutes, no longer names it. A clock that stands
-/// before the board was last heard makes all of that look recent.
+/// The board was heard until 20 s after the copies were made. A purge came while the program was down, so
+/// long ago that the board's first list, which reaches back ten minutes, no longer names it. A clock that
+/// stands before the board was last heard makes all of that look recent.
 #[test]
 fn a_clock_set_back_over_a_purge_and_forward_again_serves_nothing_purged() {
     let disk = Disk::new();
@@ -106,9 +106,9 @@
     assert_eq!(get(&mut right, 1), None);
 }
 
-/// A purge 80 s before the end stands in the journal alone: the board's first list reaches back forty seconds.
-/// The purged records still lie in their segment, whole. At every step of what the purge orders the program
-/// may end, and any part of what was not synced may be lost.
+/// A purge 80 s before the end stands in the journal alone: the board's first list reaches back forty
+/// seconds. The purged records still lie in their segment, whole. At every step of what the purge orders the
+/// program may end, and any part of what was not synced may be lost.
 #[test]
 fn a_purge_in_the_journal_and_an_older_record_that_did_not_go() {
     let mut journaled = 0;
--- a/src/control.rs
+++ b/src/control.rs
@@ -326,8 +326,8 @@
         self.purges.entry(object.ok_or(group)).and_modify(|latest| *latest = at.max(*latest)).or_insert(at);
     }
 
-    /// Another router of the location has found a part at a cache, or had it keep it: here it is a repeat then,
-    /// and no likely fill.
+    /// Another router of the location has found a part at a cache, or had it keep it: here it is a repeat
+    /// then, and no likely fill.
     pub fn told(&mut self, now: Duration, part: u32, cache: Id) {
         let count = self.ids.accesses;
         let seen = self.ids.seen.get_or_insert_mut(part, || Seen { count, at: now, ..Seen::default() });
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -141,8 +141,8 @@
     assert!(work > 20.0 * 0.25 * 22.0, "only {work:.0} s of sending went to the cold parent");
 }
 
-/// What takes more than an eighth of what the cold parent bears in a span waits until it bears more: few such would
-/// stray too far from the mean.
+/// What takes more than an eighth of what the cold parent bears in a span waits until it bears more: few such
+/// would stray too far from the mean.
 #[test]
 fn a_large_access_is_not_drawn_for_a_cold_parent() {
     let list = [
