A fleet of real routers on loopback, with faults between any two, watched and measured

Change: crates/fleet: plays as files in the manner of the operator's file (its reader now takes any table of words), 18 kinds of faults, 2 to 500 router processes that die with their player, cache servers, parents and origin as they truly are, a net that loses, doubles, delays and turns datagrams, boards a router, open-loop clients, watchers of the five rules, evenness beside the same work dealt out by the hash, the less busy of two, and one that sees all; a line of figures, JSON, a page of plots. chalkhall fleet play|check|compare|words; sixteen plays; proof-even (200 routers). Each watcher is seen to catch a log of events that breaks just its rule. Seen and mended on the way: 140 starts in one instant made the player 74 ms late (now on a thread of their own); what came before the first measured window was dealt into it.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of `.ci/run` and the README, by name.
-.PHONY: build test lint run proof-store mutants soak
+.PHONY: build test lint run proof-store proof-even mutants soak
 
 build:
 	cargo build --release --locked
@@ -35,3 +35,8 @@
 proof-store:
 	cargo build --release --locked -p chalkhall-cli
 	cargo run --release --locked -p chalkhall-cli --bin proof-store -- --seed $(SEED)
+
+# 200 real routers on loopback with faults between them: how even load lies; ends on one line. Any SEED must hold.
+proof-even:
+	cargo build --release --locked -p chalkhall-cli
+	cargo run --release --locked -p chalkhall-cli --bin proof-even -- --seed $(SEED)
--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -59,6 +59,16 @@
     /// Cells: what a map makes of a list of servers, before a router takes it over
     #[command(subcommand)]
     Cells(Cells),
+    /// Plays hundreds of real routers on loopback, with faults between them
+    #[command(subcommand)]
+    Fleet(Fleet),
+    /// A router that dies with who started it
+    #[command(hide = true)]
+    FleetChild {
+        parent: u32,
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true, required = true)]
+        command: Vec<std::ffi::OsString>,
+    },
     /// Prints what completes commands in a shell
     #[command(after_help = "Example: chalkhall completions bash > /etc/bash_completion.d/chalkhall")]
     Completions { shell: Shell },
@@ -135,6 +145,77 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum Fleet {
+    /// Plays a file: starts its routers, plays its work and faults, watches the rules, tells the figures
+    #[command(
+        after_help = "Exit codes: 0 all that must hold holds; 1 it falls short, or could not be played; 3 the play is void:
+this machine was too busy to tell.
+
+Examples:
+  chalkhall fleet play crates/fleet/plays/calm.play
+  chalkhall fleet play crates/fleet/plays/zone-lost.play --seed 7 --html zone.html --logs logs"
+    )]
+    Play {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        #[command(flatten)]
+        how: How,
+        /// One page of plots
+        #[arg(long, value_name = "FILE")]
+        html: Option<PathBuf>,
+        /// JSON in place of the line of figures
+        #[arg(long)]
+        json: bool,
+    },
+    /// Finds every fault of a play's file at once
+    #[command(after_help = "Exit codes: 0 no fault; 1 faults, one a line as FILE:LINE:COLUMN: WHAT.
+
+Example: chalkhall fleet check crates/fleet/plays/calm.play")]
+    Check {
+        #[arg(value_name = "FILE", required = true)]
+        files: Vec<PathBuf>,
+    },
+    /// Plays a file once as it is and once for each other directive or program, on the same seed
+    #[command(
+        after_help = "Example: chalkhall fleet compare zone.play --with 'peers tell off' --with 'peers lend on'"
+    )]
+    Compare {
+        #[arg(value_name = "FILE")]
+        file: PathBuf,
+        #[command(flatten)]
+        how: How,
+        /// A line of the routers' operator's file, with its section before it, in place of the play's own
+        #[arg(long, value_name = "DIRECTIVE")]
+        with: Vec<String>,
+        /// Another router program, as an earlier version
+        #[arg(long, value_name = "PROGRAM")]
+        and: Vec<PathBuf>,
+        /// So many seeds, from the first on
+        #[arg(long, default_value_t = 1)]
+        plays: u64,
+    },
+    /// Lists every word of a play's file
+    Words {
+        /// One JSON array
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+/// How a fleet is played
+#[derive(Args)]
+pub struct How {
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// The router's program; this program unless given
+    #[arg(long, value_name = "PROGRAM")]
+    pub router: Option<PathBuf>,
+    /// A folder for the routers' logs
+    #[arg(long, value_name = "FOLDER")]
+    pub logs: Option<PathBuf>,
+}
+
 /// A directory of own copies that no router holds
 #[derive(Args)]
 pub struct Directory {
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod arguments;
 pub mod cells;
 pub mod check;
+pub mod fleet;
 pub mod rig;
 pub mod store;
 pub mod torture;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,7 @@
 //! `chalkhall`: every command of an operator.
 
-use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Peers, Store};
-use chalkhall_cli::{Failure, cells, check, store, torture};
+use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Fleet, Peers, Store};
+use chalkhall_cli::{Failure, cells, check, fleet, store, torture};
 use clap::{CommandFactory, Parser};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -21,6 +21,18 @@
         Command::Cells(Cells::Check { file, servers, config, json }) => {
             cells::check(&file, &servers, config.as_deref(), json)
         }
+        Command::Fleet(Fleet::Play { file, how, html, json }) => {
+            fleet::play(&file, &how, html.as_deref(), json)
+        }
+        Command::Fleet(Fleet::Check { files }) => fleet::check(&files),
+        Command::Fleet(Fleet::Compare { file, how, with, and, plays }) => {
+            fleet::compare(&file, &how, &with, &and, plays)
+        }
+        Command::Fleet(Fleet::Words { json }) => {
+            fleet::words(json);
+            Ok(())
+        }
+        Command::FleetChild { parent, command } => fleet::child(parent, &command),
         Command::Completions { shell } => {
             clap_complete::generate(shell, &mut Chalkhall::command(), "chalkhall", &mut std::io::stdout());
             Ok(())
--- a/crates/directives/src/lib.rs
+++ b/crates/directives/src/lib.rs
@@ -12,11 +12,11 @@
 //! ```
 
 mod lines;
-mod values;
+pub mod values;
 mod words;
 
 pub use values::Amount;
-pub use words::{Bound, CellMembers, Cells, Log, LogFormat, Peers, Store, Table, Told, WORDS};
+pub use words::{Bound, CellMembers, Cells, Entry, Log, LogFormat, Peers, Set, Store, Table, Told, WORDS};
 
 use lines::{Line, Word};
 use std::fmt;
@@ -48,28 +48,42 @@
 
 /// Reads a file and what it includes. Of a faulty one the told part is what could be read.
 pub fn read(path: &Path) -> (Told, Vec<Fault>) {
-    let mut reading = Reading::default();
-    reading.file(path, None, 0);
-    (reading.told, reading.faults)
+    read_with(&WORDS, path)
 }
 
 /// Reads a text that is not in a file.
 pub fn read_text(text: &str) -> (Told, Vec<Fault>) {
-    let mut reading = Reading::default();
+    read_text_with(&WORDS, text)
+}
+
+/// A file of another kind, in the same manner, by its own table of directives.
+pub fn read_with<T: Default>(words: &'static Table<T>, path: &Path) -> (T, Vec<Fault>) {
+    let mut reading = Reading::new(words);
+    reading.file(path, None, 0);
+    (reading.told, reading.faults)
+}
+
+/// The same of a text that is not in a file.
+pub fn read_text_with<T: Default>(words: &'static Table<T>, text: &str) -> (T, Vec<Fault>) {
+    let mut reading = Reading::new(words);
     reading.text(text, None, 0);
     (reading.told, reading.faults)
 }
 
-#[derive(Default)]
-struct Reading {
-    told: Told,
+struct Reading<T: 'static> {
+    words: &'static Table<T>,
+    told: T,
     faults: Vec<Fault>,
     /// What was given already, and where: a directive stands once.
     given: Vec<(&'static str, &'static str, String)>,
     lines: usize,
 }
 
-impl Reading {
+impl<T: Default> Reading<T> {
+    fn new(words: &'static Table<T>) -> Reading<T> {
+        Reading { words, told: T::default(), faults: Vec::new(), given: Vec::new(), lines: 0 }
+    }
+
     fn fault(&mut self, file: Option<&Path>, at: &Word, what: String) {
         let file = file.map(Path::to_path_buf);
         self.faults.push(Fault { file, line: at.line, column: at.column, what });
@@ -128,12 +142,12 @@
             return;
         }
         if let Some(brace) = rest.iter().find(|w| w.text == "{") {
-            let known = WORDS.sections().find(|name| **name == first.text);
+            let known = self.words.sections().find(|name| **name == first.text);
             if let Some((open, _)) = section {
                 let what = format!("the section {open} has not ended yet");
                 self.fault(file, first, what);
             } else if known.is_none() {
-                let near = nearest(&first.text, WORDS.sections().copied());
+                let near = nearest(&first.text, self.words.sections().copied());
                 self.fault(file, first, format!("{} is not a section{near}", first.text));
             }
             *section = Some((known.copied().unwrap_or(""), first.clone()));
@@ -150,10 +164,10 @@
         if first.text == "include" && within.is_empty() {
             return self.include(first, rest, file, depth);
         }
-        let Some(entry) = WORDS.find(within, &first.text) else {
-            let names = WORDS.names(within).chain(within.is_empty().then_some("include"));
+        let Some(entry) = self.words.find(within, &first.text) else {
+            let names = self.words.names(within).chain(within.is_empty().then_some("include"));
             let of = if within.is_empty() { String::new() } else { format!(" of {within}") };
-            let elsewhere = WORDS.sections().find(|s| WORDS.find(s, &first.text).is_some());
+            let elsewhere = self.words.sections().find(|s| self.words.find(s, &first.text).is_some());
             let hint = match elsewhere {
                 Some(there) => format!("; it belongs in {there}"),
                 None => nearest(&first.text, names),
--- a/crates/directives/src/words.rs
+++ b/crates/directives/src/words.rs
@@ -126,10 +126,11 @@
     }
 }
 
-type Set = fn(&mut Told, &[&str]) -> Result<(), (usize, String)>;
+/// Takes the words of one directive; a fault says at which of them, from 0.
+pub type Set<T> = fn(&mut T, &[&str]) -> Result<(), (usize, String)>;
 
 /// One directive: in which section, how many words it takes and how they are written, what it says.
-pub struct Entry {
+pub struct Entry<T: 'static> {
     pub section: &'static str,
     pub name: &'static str,
     pub takes: &'static str,
@@ -137,26 +138,34 @@
     /// It may be given more than once.
     pub many: bool,
     pub says: &'static str,
-    pub set: Set,
+    pub set: Set<T>,
 }
 
-pub struct Table(&'static [Entry]);
+/// All directives of one kind of file, by section; `T` is what they fill.
+pub struct Table<T: 'static> {
+    sections: &'static [&'static str],
+    entries: &'static [Entry<T>],
+}
+
+impl<T> Table<T> {
+    pub const fn new(sections: &'static [&'static str], entries: &'static [Entry<T>]) -> Table<T> {
+        Table { sections, entries }
+    }
 
-impl Table {
-    pub fn entries(&self) -> &'static [Entry] {
-        self.0
+    pub fn entries(&self) -> &'static [Entry<T>] {
+        self.entries
     }
 
-    pub fn find(&self, section: &str, name: &str) -> Option<&'static Entry> {
-        self.0.iter().find(|e| e.section == section && e.name == name)
+    pub fn find(&self, section: &str, name: &str) -> Option<&'static Entry<T>> {
+        self.entries.iter().find(|e| e.section == section && e.name == name)
     }
 
     pub fn names(&self, section: &str) -> impl Iterator<Item = &'static str> {
-        self.0.iter().filter(move |e| e.section == section).map(|e| e.name)
+        self.entries.iter().filter(move |e| e.section == section).map(|e| e.name)
     }
 
     pub fn sections(&self) -> impl Iterator<Item = &'static &'static str> {
-        ["store", "cells", "peers"].iter()
+        self.sections.iter()
     }
 }
 
@@ -194,202 +203,217 @@
     name: &'static str,
     takes: &'static str,
     says: &'static str,
-    set: Set,
-) -> Entry {
+    set: Set<Told>,
+) -> Entry<Told> {
     Entry { section, name, takes, count: 1..=1, many: false, says, set }
 }
 
 /// Every directive there is.
-pub const WORDS: Table = Table(&[
-    one("", "log-format", "text|json", "how a log line looks", |told, words| {
-        told.log.format = match words[0] {
-            "text" => LogFormat::Text,
-            "json" => LogFormat::Json,
-            other => return Err((0, format!("{other:?} is neither text nor json"))),
-        };
-        Ok(())
-    }),
-    one("", "log-level", "LEVEL", "what is logged, as RUST_LOG says it", |told, words| {
-        told.log.level = Some(words[0].to_owned());
-        Ok(())
-    }),
-    one("", "control", "PATH", "a Unix socket for chalkhall's commands, mode 0600", |told, words| {
-        told.control = Some(PathBuf::from(words[0]));
-        Ok(())
-    }),
-    one("store", "memory", "SIZE|SHARE", "own copies in memory, within limits.memory_mb", |told, words| {
-        told.store.memory = Some(at(0, values::amount(words[0]))?);
-        Ok(())
-    }),
-    Entry {
-        section: "store",
-        name: "disk",
-        takes: "DIRECTORY SIZE",
-        count: 2..=2,
-        many: false,
-        says: "own copies on disk: where, and how many bytes",
-        set: |told, words| {
-            let size = bytes_within(words[1], 16 << 20, 1 << 50).map_err(|(_, what)| (1, what))?;
-            told.store.disk = Some((PathBuf::from(words[0]), size));
+pub const WORDS: Table<Told> = Table::new(
+    &["store", "cells", "peers"],
+    &[
+        one("", "log-format", "text|json", "how a log line looks", |told, words| {
+            told.log.format = match words[0] {
+                "text" => LogFormat::Text,
+                "json" => LogFormat::Json,
+                other => return Err((0, format!("{other:?} is neither text nor json"))),
+            };
             Ok(())
-        },
-    },
-    one("store", "segment", "SIZE", "how long a segment file gets", |told, words| {
-        told.store.segment = bytes_within(words[0], 1_000_000, 1 << 30)?;
-        Ok(())
-    }),
-    one("store", "index-memory", "SIZE|SHARE", "memory for the table of the parts on disk", |told, words| {
-        told.store.index = at(0, values::amount(words[0]))?;
-        Ok(())
-    }),
-    one("store", "write-rate", "SIZE", "bytes admitted to the disk in a second", |told, words| {
-        told.store.write_rate = Some(bytes_within(words[0], 1 << 10, 1 << 40)?);
-        Ok(())
-    }),
-    one("store", "write-day", "SIZE", "bytes admitted to the disk in a day", |told, words| {
-        told.store.write_day = Some(bytes_within(words[0], 1 << 20, 1 << 50)?);
-        Ok(())
-    }),
-    one("store", "least-fresh", "SPAN", "what is fresh for less is not written", |told, words| {
-        told.store.least_fresh = at(0, values::span(words[0]))?;
-        Ok(())
-    }),
-    one(
-        "store",
-        "carry",
-        "SHARE",
-        "carried over from reclaimed segments, of what is admitted",
-        |told, words| {
-            told.store.carry = at(0, values::share(words[0]))?;
+        }),
+        one("", "log-level", "LEVEL", "what is logged, as RUST_LOG says it", |told, words| {
+            told.log.level = Some(words[0].to_owned());
             Ok(())
-        },
-    ),
-    one("store", "readers", "COUNT", "threads that read from the disk", |told, words| {
-        told.store.readers = at(0, values::whole(words[0], 1, 64))? as usize;
-        Ok(())
-    }),
-    one("store", "sync-after", "SPAN", "how long a written part may wait to be synced", |told, words| {
-        told.store.sync_after = at(0, values::span(words[0]))?;
-        Ok(())
-    }),
-    one("store", "sync-bytes", "SIZE", "how many written bytes may wait to be synced", |told, words| {
-        told.store.sync_bytes = bytes_within(words[0], 1, 1 << 40)?;
-        Ok(())
-    }),
-    one(
-        "store",
-        "known-purges",
-        "SPAN",
-        "the board's first list names all purges of so long",
-        |told, words| {
-            told.store.known_purges = at(0, values::span(words[0]))?;
+        }),
+        one("", "control", "PATH", "a Unix socket for chalkhall's commands, mode 0600", |told, words| {
+            told.control = Some(PathBuf::from(words[0]));
             Ok(())
+        }),
+        one(
+            "store",
+            "memory",
+            "SIZE|SHARE",
+            "own copies in memory, within limits.memory_mb",
+            |told, words| {
+                told.store.memory = Some(at(0, values::amount(words[0]))?);
+                Ok(())
+            },
+        ),
+        Entry {
+            section: "store",
+            name: "disk",
+            takes: "DIRECTORY SIZE",
+            count: 2..=2,
+            many: false,
+            says: "own copies on disk: where, and how many bytes",
+            set: |told, words| {
+                let size = bytes_within(words[1], 16 << 20, 1 << 50).map_err(|(_, what)| (1, what))?;
+                told.store.disk = Some((PathBuf::from(words[0]), size));
+                Ok(())
+            },
         },
-    ),
-    one("store", "revalidate", "COUNT", "unproven copies asked for again in a second", |told, words| {
-        told.store.revalidate = at(0, values::whole(words[0], 0, 100_000))? as f64;
-        Ok(())
-    }),
-    one("store", "read-ahead", "COUNT", "parts read ahead of one asked for in turn", |told, words| {
-        told.store.read_ahead = at(0, values::whole(words[0], 0, 64))? as usize;
-        Ok(())
-    }),
-    one("store", "scrub", "SIZE", "bytes a second read to find damage", |told, words| {
-        told.store.scrub = at(0, values::bytes(words[0]))?;
-        Ok(())
-    }),
-    one("store", "yield-over", "SPAN", "background work pauses while turns come later", |told, words| {
-        told.store.yield_over = at(0, values::span(words[0]))?;
-        Ok(())
-    }),
-    one(
-        "cells",
-        "epoch",
-        "NUMBER",
-        "of this map: a router never goes back to an older one",
-        |told, words| {
-            told.cells.epoch = at(0, values::whole(words[0], 0, u64::MAX))?;
+        one("store", "segment", "SIZE", "how long a segment file gets", |told, words| {
+            told.store.segment = bytes_within(words[0], 1_000_000, 1 << 30)?;
             Ok(())
-        },
-    ),
-    Entry {
-        section: "cells",
-        name: "cell",
-        takes: "NAME list SERVER.. | share SHARE | shuffle COUNT",
-        count: 3..=1024,
-        many: true,
-        says: "a part of the fleet, and which cache servers it has",
-        set: |told, words| {
-            let members = match (words[1], &words[2..]) {
-                ("list", servers) => CellMembers::List(servers.iter().map(|s| (*s).to_owned()).collect()),
-                ("share", [share]) => CellMembers::Share(at(2, values::share(share))?),
-                ("shuffle", [count]) => {
-                    CellMembers::Shuffle(at(2, values::whole(count, 1, 10_000))? as usize)
-                }
-                ("share" | "shuffle", _) => return Err((3, "one word too many".into())),
-                (other, _) => return Err((1, format!("{other:?} is not list, share or shuffle"))),
-            };
-            told.cells.cells.push((words[0].to_owned(), members));
+        }),
+        one(
+            "store",
+            "index-memory",
+            "SIZE|SHARE",
+            "memory for the table of the parts on disk",
+            |told, words| {
+                told.store.index = at(0, values::amount(words[0]))?;
+                Ok(())
+            },
+        ),
+        one("store", "write-rate", "SIZE", "bytes admitted to the disk in a second", |told, words| {
+            told.store.write_rate = Some(bytes_within(words[0], 1 << 10, 1 << 40)?);
             Ok(())
-        },
-    },
-    Entry {
-        section: "cells",
-        name: "bind",
-        takes: "prefix ID | group FROM[-TO] | customer NUMBER | category NAME, then CELL",
-        count: 3..=3,
-        many: true,
-        says: "what belongs to a cell",
-        set: |told, words| {
-            told.cells.bindings.push((bound(words)?, words[2].to_owned()));
+        }),
+        one("store", "write-day", "SIZE", "bytes admitted to the disk in a day", |told, words| {
+            told.store.write_day = Some(bytes_within(words[0], 1 << 20, 1 << 50)?);
             Ok(())
-        },
-    },
-    Entry {
-        section: "cells",
-        name: "move",
-        takes: "what is bound, as in bind, then the CELL it goes to",
-        count: 3..=3,
-        many: true,
-        says: "moves what is bound elsewhere to a cell, as fast as that warms up",
-        set: |told, words| {
-            told.cells.moves.push((bound(words)?, words[2].to_owned()));
+        }),
+        one("store", "least-fresh", "SPAN", "what is fresh for less is not written", |told, words| {
+            told.store.least_fresh = at(0, values::span(words[0]))?;
             Ok(())
-        },
-    },
-    one(
-        "cells",
-        "otherwise",
-        "CELL",
-        "where all else belongs; unless given, to all servers",
-        |told, words| {
-            told.cells.otherwise = Some(words[0].to_owned());
+        }),
+        one(
+            "store",
+            "carry",
+            "SHARE",
+            "carried over from reclaimed segments, of what is admitted",
+            |told, words| {
+                told.store.carry = at(0, values::share(words[0]))?;
+                Ok(())
+            },
+        ),
+        one("store", "readers", "COUNT", "threads that read from the disk", |told, words| {
+            told.store.readers = at(0, values::whole(words[0], 1, 64))? as usize;
             Ok(())
+        }),
+        one("store", "sync-after", "SPAN", "how long a written part may wait to be synced", |told, words| {
+            told.store.sync_after = at(0, values::span(words[0]))?;
+            Ok(())
+        }),
+        one("store", "sync-bytes", "SIZE", "how many written bytes may wait to be synced", |told, words| {
+            told.store.sync_bytes = bytes_within(words[0], 1, 1 << 40)?;
+            Ok(())
+        }),
+        one(
+            "store",
+            "known-purges",
+            "SPAN",
+            "the board's first list names all purges of so long",
+            |told, words| {
+                told.store.known_purges = at(0, values::span(words[0]))?;
+                Ok(())
+            },
+        ),
+        one("store", "revalidate", "COUNT", "unproven copies asked for again in a second", |told, words| {
+            told.store.revalidate = at(0, values::whole(words[0], 0, 100_000))? as f64;
+            Ok(())
+        }),
+        one("store", "read-ahead", "COUNT", "parts read ahead of one asked for in turn", |told, words| {
+            told.store.read_ahead = at(0, values::whole(words[0], 0, 64))? as usize;
+            Ok(())
+        }),
+        one("store", "scrub", "SIZE", "bytes a second read to find damage", |told, words| {
+            told.store.scrub = at(0, values::bytes(words[0]))?;
+            Ok(())
+        }),
+        one("store", "yield-over", "SPAN", "background work pauses while turns come later", |told, words| {
+            told.store.yield_over = at(0, values::span(words[0]))?;
+            Ok(())
+        }),
+        one(
+            "cells",
+            "epoch",
+            "NUMBER",
+            "of this map: a router never goes back to an older one",
+            |told, words| {
+                told.cells.epoch = at(0, values::whole(words[0], 0, u64::MAX))?;
+                Ok(())
+            },
+        ),
+        Entry {
+            section: "cells",
+            name: "cell",
+            takes: "NAME list SERVER.. | share SHARE | shuffle COUNT",
+            count: 3..=1024,
+            many: true,
+            says: "a part of the fleet, and which cache servers it has",
+            set: |told, words| {
+                let members = match (words[1], &words[2..]) {
+                    ("list", servers) => CellMembers::List(servers.iter().map(|s| (*s).to_owned()).collect()),
+                    ("share", [share]) => CellMembers::Share(at(2, values::share(share))?),
+                    ("shuffle", [count]) => {
+                        CellMembers::Shuffle(at(2, values::whole(count, 1, 10_000))? as usize)
+                    }
+                    ("share" | "shuffle", _) => return Err((3, "one word too many".into())),
+                    (other, _) => return Err((1, format!("{other:?} is not list, share or shuffle"))),
+                };
+                told.cells.cells.push((words[0].to_owned(), members));
+                Ok(())
+            },
+        },
+        Entry {
+            section: "cells",
+            name: "bind",
+            takes: "prefix ID | group FROM[-TO] | customer NUMBER | category NAME, then CELL",
+            count: 3..=3,
+            many: true,
+            says: "what belongs to a cell",
+            set: |told, words| {
+                told.cells.bindings.push((bound(words)?, words[2].to_owned()));
+                Ok(())
+            },
+        },
+        Entry {
+            section: "cells",
+            name: "move",
+            takes: "what is bound, as in bind, then the CELL it goes to",
+            count: 3..=3,
+            many: true,
+            says: "moves what is bound elsewhere to a cell, as fast as that warms up",
+            set: |told, words| {
+                told.cells.moves.push((bound(words)?, words[2].to_owned()));
+                Ok(())
+            },
         },
-    ),
-    one("cells", "overlap", "COUNT", "servers that two drawn cells may share", |told, words| {
-        told.cells.overlap = Some(at(0, values::whole(words[0], 0, 10_000))? as usize);
-        Ok(())
-    }),
-    one("peers", "tell", "on|off", "tells the routers of the location what it sights", |told, words| {
-        told.peers.tell = match words[0] {
-            "on" => true,
-            "off" => false,
-            other => return Err((0, format!("{other:?} is neither on nor off"))),
-        };
-        Ok(())
-    }),
-    Entry {
-        section: "cells",
-        name: "tenant-rate",
-        takes: "RATE BURST",
-        count: 2..=2,
-        many: false,
-        says: "accesses a second of one tenant, and how many at once",
-        set: |told, words| {
-            let rate = at(0, values::whole(words[0], 1, 1_000_000))? as f64;
-            told.cells.tenant = Some((rate, at(1, values::whole(words[1], 1, 1_000_000))? as f64));
+        one(
+            "cells",
+            "otherwise",
+            "CELL",
+            "where all else belongs; unless given, to all servers",
+            |told, words| {
+                told.cells.otherwise = Some(words[0].to_owned());
+                Ok(())
+            },
+        ),
+        one("cells", "overlap", "COUNT", "servers that two drawn cells may share", |told, words| {
+            told.cells.overlap = Some(at(0, values::whole(words[0], 0, 10_000))? as usize);
+            Ok(())
+        }),
+        one("peers", "tell", "on|off", "tells the routers of the location what it sights", |told, words| {
+            told.peers.tell = match words[0] {
+                "on" => true,
+                "off" => false,
+                other => return Err((0, format!("{other:?} is neither on nor off"))),
+            };
             Ok(())
+        }),
+        Entry {
+            section: "cells",
+            name: "tenant-rate",
+            takes: "RATE BURST",
+            count: 2..=2,
+            many: false,
+            says: "accesses a second of one tenant, and how many at once",
+            set: |told, words| {
+                let rate = at(0, values::whole(words[0], 1, 1_000_000))? as f64;
+                told.cells.tenant = Some((rate, at(1, values::whole(words[1], 1, 1_000_000))? as f64));
+                Ok(())
+            },
         },
-    },
-]);
+    ],
+);
--- /dev/null
+++ b/crates/fleet/src/net.rs
@@ -0,0 +1,174 @@
+//! What routers say to one another passes here, and may be lost, doubled, late or turned round. Needs no privilege:
+//! each router is told, as its mates' addresses, one socket of this net for each router; what router i sends to j's
+//! socket is known by where it comes from, and goes on from i's socket to j. So each sees its mates where it was told.
+
+use chalkhall_members::codec::{Datagram, Finding, KEY_BITS, MOST_BYTES};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// What befalls datagrams now.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Weather {
+    pub lost: f64,
+    pub doubled: f64,
+    pub turned: f64,
+    pub late: Duration,
+    /// By router: it hears nothing.
+    pub deaf: Vec<bool>,
+    /// Datagrams longer than there may be, counted by nobody else.
+    pub seed: u64,
+}
+
+/// A datagram held back so long comes after the next one of its sender.
+const TURNED: Duration = Duration::from_millis(650);
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Carried {
+    pub datagrams: u64,
+    pub bytes: u64,
+    pub too_long: u64,
+}
+
+pub struct Net {
+    sockets: Rc<Vec<UdpSocket>>,
+    all: Rc<UdpSocket>,
+    /// Where routers listen.
+    routers: Rc<Vec<SocketAddr>>,
+}
+
+impl Net {
+    /// # Errors
+    /// Of the system, in words.
+    pub async fn open(routers: Vec<SocketAddr>, at: &str) -> Result<Net, String> {
+        let mut sockets = Vec::with_capacity(routers.len());
+        let bind =
+            || async { UdpSocket::bind(format!("{at}:0")).await.map_err(|e| format!("datagrams: {e}")) };
+        for _ in &routers {
+            sockets.push(bind().await?);
+        }
+        Ok(Net { sockets: Rc::new(sockets), all: Rc::new(bind().await?), routers: Rc::new(routers) })
+    }
+
+    /// As routers are told: one address each, and one for all.
+    pub fn told(&self) -> (Vec<String>, String) {
+        let at = |socket: &UdpSocket| socket.local_addr().map(|a| a.to_string()).unwrap_or_default();
+        (self.sockets.iter().map(at).collect(), at(&self.all))
+    }
+
+    /// Carries until the weather ends.
+    pub fn run(&self, weather: &watch::Receiver<Weather>, carried: &watch::Sender<Carried>) {
+        for to in 0..=self.routers.len() {
+            let (sockets, all, routers) = (self.sockets.clone(), self.all.clone(), self.routers.clone());
+            let (weather, carried) = (weather.clone(), carried.clone());
+            spawn_local(async move {
+                let mut chance = fastrand::Rng::with_seed(weather.borrow().seed ^ to as u64);
+                let socket = sockets.get(to).unwrap_or(&all);
+                let mut buffer = [0; 2 * MOST_BYTES];
+                while let Ok((length, from)) = socket.recv_from(&mut buffer).await {
+                    let Some(sender) = routers.iter().position(|at| *at == from) else { continue };
+                    carried.send_modify(|c| {
+                        c.datagrams += 1;
+                        c.bytes += length as u64;
+                        c.too_long += u64::from(length > MOST_BYTES);
+                    });
+                    let receivers = if to < routers.len() { to..to + 1 } else { 0..routers.len() };
+                    for receiver in receivers.filter(|r| *r != sender) {
+                        let now = weather.borrow().clone();
+                        carry(&now, &mut chance, &sockets, &routers, (sender, receiver), &buffer[..length]);
+                    }
+                }
+            });
+        }
+    }
+
+    /// A word within the format, in the name of a router, that nobody has found out: parts that are nowhere.
+    pub fn lie(&self, liar: usize, location: usize, mates: &[usize], chance: &mut fastrand::Rng) {
+        let finding = |_| Finding { part: chance.u32(..1 << KEY_BITS), cache: chance.u8(1..) };
+        let findings = (0..50).map(finding).collect();
+        let bytes = Datagram { looking: chance.bool(), location: location as u16, findings }.encode();
+        for mate in mates.iter().filter(|mate| **mate != liar) {
+            let _ = self.sockets[liar].try_send_to(&bytes, self.routers[*mate]);
+        }
+    }
+}
+
+fn carry(
+    weather: &Weather,
+    chance: &mut fastrand::Rng,
+    sockets: &Rc<Vec<UdpSocket>>,
+    routers: &Rc<Vec<SocketAddr>>,
+    (sender, receiver): (usize, usize),
+    bytes: &[u8],
+) {
+    if chance.f64() < weather.lost || weather.deaf.get(receiver) == Some(&true) {
+        return;
+    }
+    let copies = 1 + usize::from(chance.f64() < weather.doubled);
+    for _ in 0..copies {
+        let mut wait = weather.late.mul_f64(chance.f64());
+        if chance.f64() < weather.turned {
+            wait += TURNED;
+        }
+        if wait.is_zero() {
+            // A full buffer loses it, as any datagram may be.
+            let _ = sockets[sender].try_send_to(bytes, routers[receiver]);
+            continue;
+        }
+        let (sockets, routers, bytes) = (sockets.clone(), routers.clone(), bytes.to_vec());
+        spawn_local(async move {
+            sleep(wait).await;
+            let _ = sockets[sender].try_send_to(&bytes, routers[receiver]);
+        });
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::task::LocalSet;
+    use tokio::time::timeout;
+
+    /// Sends from router 0 to router 1's place in some weather; how many arrive, and from whom they seem to be.
+    fn arrive(weather: Weather, count: u8) -> (Vec<u8>, bool) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        LocalSet::new().block_on(&runtime, async {
+            let routers = [
+                UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+                UdpSocket::bind("127.0.0.1:0").await.unwrap(),
+            ];
+            let at = routers.iter().map(|r| r.local_addr().unwrap()).collect();
+            let net = Net::open(at, "127.0.0.1").await.unwrap();
+            let (told, _) = net.told();
+            let (_weather, watched) = watch::channel(weather);
+            net.run(&watched, &watch::channel(Carried::default()).0);
+            for n in 0..count {
+                routers[0].send_to(&[n], &told[1]).await.unwrap();
+                tokio::task::yield_now().await;
+            }
+            let (mut came, mut known, mut buffer) = (Vec::new(), true, [0; 8]);
+            while let Ok(Ok((_, from))) =
+                timeout(Duration::from_millis(900), routers[1].recv_from(&mut buffer)).await
+            {
+                known &= from.to_string() == told[0];
+                came.push(buffer[0]);
+            }
+            (came, known)
+        })
+    }
+
+    #[test]
+    fn datagrams_pass_under_their_senders_address_and_meet_the_weather() {
+        assert_eq!(arrive(Weather::default(), 20), ((0..20).collect(), true));
+        let (came, known) = arrive(Weather { lost: 0.5, ..Weather::default() }, 100);
+        assert!(known && (25..75).contains(&came.len()), "{came:?}");
+        assert_eq!(arrive(Weather { doubled: 1.0, ..Weather::default() }, 10).0.len(), 20);
+        assert!(arrive(Weather { deaf: vec![false, true], ..Weather::default() }, 10).0.is_empty());
+        let (came, _) = arrive(Weather { turned: 0.3, seed: 4, ..Weather::default() }, 40);
+        assert!(came.len() == 40 && !came.is_sorted(), "{came:?}");
+    }
+}
