--- a/src/control.rs
+++ b/src/control.rs
@@ -82,7 +82,7 @@
         self.accesses += 1;
         let (key, count) = (part_of(arrival), self.accesses);
         let Some(seen) = self.seen.get_mut(&key) else {
-            self.seen.put(key, Seen { count, at: now, ..Seen::default() });
+            self.seen.put(key, Seen { count, at: now, rank: u8::from(shared), ..Seen::default() });
             return u8::from(shared);
         };
         // A retry would pass for a second sighting and admit what is asked for once only.
@@ -175,6 +175,7 @@
 struct Execution {
     next: Option<Next>,
     filling: bool,
+    placed: bool, // among the fills
 }
 
 type Access = Taken<Execution>;
@@ -453,12 +454,11 @@
         self.after(turn, latest - turn.now, too_late);
     }
 
-    /// A fill ended: how many may be out follows, and those that wait go, most benefit for the work first.
+    /// A fill ended: how many may be out follows.
     fn fill_ended(&mut self, turn: &mut Turn, in_time: Option<bool>) {
-        if in_time == Some(true) && self.fills_out >= self.fills_most / 2.0 {
+        if in_time == Some(true) && self.fills_out + 1.0 >= self.fills_most / 2.0 {
             self.fills_most += (FILL_GROW * self.fills_most).min(1.0 / self.fills_most);
         }
-        self.fills_out -= 1.0;
         // At high rates some fill is always late, of a large object perhaps: a cut for each would choke all.
         let (last, ended, late) = self.fills_lately;
         let fades = (-turn.now.saturating_sub(last).div_duration_f64(FILL_CUT_EVERY)).exp();
@@ -468,6 +468,11 @@
             self.fills_most = (self.fills_most * FILL_CUT).max(FILLS_LEAST);
             self.fills_cut = turn.now;
         }
+        self.fill_next(turn);
+    }
+
+    /// Places are free: who waits for one goes, most benefit for the work first.
+    fn fill_next(&mut self, turn: &mut Turn) {
         while self.fills_out < self.fills_most {
             let (accesses, categories) = (&self.accesses, &self.categories);
             self.waiting.retain(|id| accesses.get(id).is_some_and(|a| !a.ended));
@@ -647,7 +652,7 @@
         let n = access.executions.len();
         let (id, looked) = (id.clone(), (id.clone(), route.clone()));
         let next: Next = Box::new(move |router, turn, ended| router.follow(turn, &id, n, &route, now, ended));
-        access.executions.push(Execution { next: Some(next), filling });
+        access.executions.push(Execution { next: Some(next), filling, placed: filling });
         if watched {
             let (id, route) = looked;
             self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, now)));
@@ -664,19 +669,31 @@
         // A copy would have been sent by now: it is being filled after all. Nothing fills an own one.
         let own = route.made.is_some();
         let filling = !own && std::mem::replace(&mut execution.filling, true);
-        self.fills_out += f64::from(!filling && !own);
+        // How long each end that was not heard of since had not been before: the longer, the likelier it is it.
+        let unseen = |n: &Id| Some((n.clone(), sent.checked_sub(self.servers.get(n)?.heard)?.as_secs_f64()));
+        let silent: Vec<_> = route.ends().filter_map(unseen).filter(|(_, unseen)| *unseen > 0.0).collect();
+        // Whoever says nothing to anybody uses no link: a place among the fills would be held for nothing.
+        let placed = std::mem::replace(&mut execution.placed, !own && silent.is_empty());
+        self.fills_out += f64::from(execution.placed) - f64::from(placed);
         let usual = (OVERHEAD + access.work).mul_f64(self.patience);
-        let silent = route.ends().find(|name| self.servers.get(*name).is_some_and(|s| s.heard < sent));
-        let mut waits = silent.is_none() && turn.now < sent + usual * 2;
-        if let Some(server) = silent.and_then(|name| self.servers.get_mut(name)) {
-            server.record.judge(turn.now, true, 1.0);
-            waits = filling && !server.record.is_aside();
+        let (all, mut doubt) = (silent.iter().map(|(_, unseen)| unseen).sum::<f64>(), 0.0);
+        for (name, unseen) in &silent {
+            let Some(server) = self.servers.get_mut(name) else { continue };
+            server.record.judge(turn.now, true, unseen / all);
+            doubt += server.record.doubt;
         }
+        // Whichever it is, one of them is broken.
+        let waits = match silent[..] {
+            [] => turn.now < sent + usual * 2,
+            _ => filling && doubt < BROKEN_AT,
+        };
         if waits {
             let (id, route, wait) = (id.clone(), route.clone(), turn.now - sent);
-            return self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)));
+            self.after(turn, wait, Box::new(move |r, turn| r.look_into(turn, &id, n, &route, sent)));
+            return self.fill_next(turn);
         }
-        access.failed.push(silent.unwrap_or(&route.server).clone());
+        let answered = silent.is_empty().then(|| route.server.clone());
+        access.failed.extend(silent.into_iter().map(|(name, _)| name).chain(answered));
         self.patience = if own { self.patience } else { (self.patience * PATIENCE_GROWS).min(PATIENCE_MOST) };
         turn.out.cancel(id, n)
     }
@@ -756,7 +773,8 @@
     fn follow(&mut self, turn: &mut Turn, id: &Id, n: usize, route: &Route, sent: Duration, ended: &Ended) {
         use Outcome::*;
         let Some(access) = self.accesses.get(id) else { return };
-        let filling = access.executions[n].filling;
+        let Execution { filling, placed, .. } = access.executions[n];
+        self.fills_out -= f64::from(placed);
         let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
         let (part, before) = (part_of(&access.arrival), self.held(part_of(&access.arrival)));
         self.learn(turn.now, id, route, filling, turn.now > soft, ended);
@@ -764,11 +782,11 @@
             turn.out.found(part, &held);
         }
         if filling {
-            // A server that is dead or set aside, or a broken connection, says nothing of what the links
-            // bear.
-            let dead = matches!(ended.outcome, Cancelled | Missing | Broken)
+            // Who is dead, silent, set aside or refuses, as one source may, says nothing of what links bear.
+            let mut ends = route.ends().filter_map(|name| self.servers.get(name));
+            let dead = matches!(ended.outcome, Cancelled | Missing | Broken | Full)
                 || ended.remark == Remark::SourceUnreached
-                || self.servers.get(&route.server).is_some_and(|s| s.record.is_aside());
+                || ends.any(|s| s.record.is_aside() || s.heard < sent && ended.outcome == TimedOut);
             self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         self.pass_on(turn, id, ended.outcome == Honoured);
