Even load: the routers of a location lean the hash's weights together; off by default

Need: the hash shares out objects, not work. Change: crates/members/src/lean.rs (no I/O): each half second mates tell the work sent to each cache, four bytes each, and turn each warm cache's weight a little; within twice and half; alone, weights stay as told. Datagrams of a format of their own, so who does not know them loses nothing. One weight in src/control.rs; the hash's draw moved to crates/structures (no decision). peers { even-load on }, weights in peers stat. Tests: six routers, a third of datagrams lost, a liar; fails without (weights fixed: peak over 1.25).

--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -51,6 +51,7 @@
     parents 4
     warm-within 6s
     directive peers tell on
+    directive peers even-load on
     directive store memory 4MB
 }
 work {
--- a/crates/directives/src/words.rs
+++ b/crates/directives/src/words.rs
@@ -21,6 +21,8 @@
 pub struct Peers {
     /// Tells the other routers of the location what it sights and has under way, and heeds what they tell.
     pub tell: bool,
+    /// Evens out the load of the location's caches with the mates.
+    pub even_load: bool,
 }
 
 /// Which cache servers a cell has.
@@ -183,6 +185,14 @@
     Err((0, format!("{word} is not from {} to {}", say(least), say(most))))
 }
 
+fn on_or_off(word: &str) -> Result<bool, (usize, String)> {
+    match word {
+        "on" => Ok(true),
+        "off" => Ok(false),
+        other => Err((0, format!("{other:?} is neither on nor off"))),
+    }
+}
+
 /// `prefix ID`, `group FROM-TO`, `customer NUMBER` or `category NAME`.
 fn bound(words: &[&str]) -> Result<Bound, (usize, String)> {
     match words[0] {
@@ -395,11 +405,11 @@
             Ok(())
         }),
         one("peers", "tell", "on|off", "tells the routers of the location what it sights", |told, words| {
-            told.peers.tell = match words[0] {
-                "on" => true,
-                "off" => false,
-                other => return Err((0, format!("{other:?} is neither on nor off"))),
-            };
+            told.peers.tell = on_or_off(words[0])?;
+            Ok(())
+        }),
+        one("peers", "even-load", "on|off", "with tell: evens out the load of the caches", |told, words| {
+            told.peers.even_load = on_or_off(words[0])?;
             Ok(())
         }),
         Entry {
--- a/crates/members/src/codec.rs
+++ b/crates/members/src/codec.rs
@@ -9,6 +9,15 @@
 //! | 5 each | findings, to the end: 4 bytes of a part's key (31 bits), 1 of the mark of its cache |
 //!
 //! Numbers have their high byte first. A cache's mark is a byte of its name's hash; 0 is none's.
+//!
+//! Loads go in datagrams of their own, so that a router which does not know them loses nothing else:
+//!
+//! | bytes | what |
+//! | --- | --- |
+//! | 1 | 0xC2: this format |
+//! | 1 | 0 |
+//! | 2 | the sender's location |
+//! | 4 each | loads, to the end: 1 byte of a cache's mark, 2 of the work sent to it in ms, 1 of how many accesses |
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -49,6 +58,63 @@
     Value,
 }
 
+const LOADS: u8 = 0xC2;
+const LOAD: usize = 4;
+
+/// What a router sent to a cache in its last period.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Load {
+    pub cache: u8,
+    /// Milliseconds at a client's pace; no more than fits are told.
+    pub work_ms: u16,
+    pub count: u8,
+}
+
+impl Load {
+    /// Work in seconds.
+    pub fn new(cache: u8, work: f64, count: f64) -> Load {
+        Load { cache, work_ms: (work * 1e3) as u16, count: count as u8 }
+    }
+
+    /// In seconds.
+    pub fn work(&self) -> f64 {
+        f64::from(self.work_ms) / 1e3
+    }
+}
+
+/// The datagram of these loads; those past what fits are left out.
+pub fn encode_loads(location: u16, loads: &[Load]) -> Vec<u8> {
+    let loads = &loads[..loads.len().min((MOST_BYTES - HEAD) / LOAD)];
+    let mut bytes = vec![LOADS, 0];
+    bytes.extend(location.to_be_bytes());
+    for Load { cache, work_ms, count } in loads {
+        bytes.push(*cache);
+        bytes.extend(work_ms.to_be_bytes());
+        bytes.push(*count);
+    }
+    bytes
+}
+
+/// The location and the loads of a datagram; none where it is not one of loads.
+///
+/// # Errors
+/// Says what is wrong; of such a datagram nothing counts.
+pub fn decode_loads(bytes: &[u8]) -> Option<Result<(u16, Vec<Load>), Fault>> {
+    let [LOADS, marks, high, low, rest @ ..] = bytes else { return None };
+    if bytes.len() > MOST_BYTES || !rest.len().is_multiple_of(LOAD) {
+        return Some(Err(Fault::Length));
+    }
+    if *marks != 0 {
+        return Some(Err(Fault::Format));
+    }
+    let load = |l: &[u8]| Load { cache: l[0], work_ms: u16::from_be_bytes([l[1], l[2]]), count: l[3] };
+    let loads: Vec<Load> = rest.chunks_exact(LOAD).map(load).collect();
+    if loads.iter().any(|load| load.cache == 0) {
+        return Some(Err(Fault::Value));
+    }
+    Some(Ok((u16::from_be_bytes([*high, *low]), loads)))
+}
+
 /// The mark of a cache, by its name; never 0.
 pub fn mark(name: &str) -> u8 {
     ((xxh3_64(name.as_bytes()) >> 56) as u8).max(1)
@@ -120,6 +186,23 @@
             }
         }
 
+        #[test]
+        fn loads_come_back_and_any_bytes_are_read_whole_or_refused(
+            told in prop::collection::vec((1u8.., any::<u16>(), any::<u8>()), 0..80), location: u16,
+            bytes in prop::collection::vec(any::<u8>(), 0..270),
+        ) {
+            let load = |(cache, work_ms, count)| Load { cache, work_ms, count };
+            let told: Vec<Load> = told.into_iter().map(load).collect();
+            let sent = encode_loads(location, &told);
+            prop_assert!(sent.len() <= MOST_BYTES);
+            let back = decode_loads(&sent).expect("loads").expect("own bytes");
+            prop_assert_eq!(back, (location, told[..told.len().min(63)].to_vec()));
+            prop_assert!(Datagram::decode(&sent).is_err(), "who does not know them takes nothing from them");
+            if let Some(Ok((location, loads))) = decode_loads(&bytes) {
+                prop_assert_eq!(encode_loads(location, &loads), bytes);
+            }
+        }
+
         #[test]
         fn what_is_cut_within_a_finding_is_refused(told in datagrams(), cut in 0usize..256) {
             let bytes = told.encode();
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -7,6 +7,8 @@
 //! without.
 
 pub mod codec;
+pub mod lean;
 pub mod talk;
 
+pub use lean::Leaning;
 pub use talk::{About, Dropped, Ear, Mouth, Talk, To};
--- a/crates/members/src/talk.rs
+++ b/crates/members/src/talk.rs
@@ -7,7 +7,8 @@
 //! to all costs as much as a minute of talk. A mate that is silent for [`SILENT`] gets a sign of life now and
 //! then, so that both sides of a split find back without asking all.
 
-use crate::codec::{Datagram, FINDINGS_MOST, Finding, HEAD, mark};
+use crate::codec::{Datagram, FINDINGS_MOST, Finding, HEAD, decode_loads, encode_loads, mark};
+use crate::lean::{Lean, Leaning};
 use chalkhall::control::Router;
 use chalkhall::interface::Id;
 use std::collections::{BTreeMap, VecDeque};
@@ -42,11 +43,17 @@
 }
 
 /// Takes in what the mates tell.
-pub trait Ear {
+pub trait Ear: Leaning {
     /// A mate has found a part at a cache, or had it kept there.
     fn found(&mut self, now: Duration, part: u32, cache: Id);
 }
 
+impl Leaning for Router {
+    fn lean(&mut self, cache: &Id, by: f64) {
+        Router::lean(self, cache, by);
+    }
+}
+
 impl Ear for Router {
     fn found(&mut self, now: Duration, part: u32, cache: Id) {
         self.told(now, part, cache);
@@ -97,6 +104,8 @@
     ask: Duration,
     ask_again: Duration,
     dropped: Dropped,
+    /// Weights of the caches, where load is evened out.
+    lean: Option<Lean>,
 }
 
 impl Talk {
@@ -115,9 +124,44 @@
             ask: now,
             ask_again: ASK_FIRST,
             dropped: Dropped::default(),
+            lean: None,
         })
     }
 
+    /// From now on the location's load is evened out with the mates.
+    pub fn even_load(&mut self) {
+        self.lean = Some(Lean::default());
+    }
+
+    /// The caches to be evened out, with their capacities, anew.
+    pub fn even(&mut self, caches: impl Iterator<Item = (Id, f64)>) {
+        if let Some(lean) = &mut self.lean {
+            lean.caches(caches);
+        }
+    }
+
+    /// Each evened cache's weight over its capacity; none where load is not evened out.
+    pub fn weights(&self) -> impl Iterator<Item = (&Id, f64)> {
+        self.lean.iter().flat_map(Lean::weights)
+    }
+
+    /// This router has sent a server so much work, in seconds at a client's pace.
+    pub fn sent(&mut self, server: &Id, work: f64) {
+        self.lean.iter_mut().for_each(|lean| lean.sent(server, work));
+    }
+
+    /// Tells the mates what was sent to whom, and takes up the weights that follow.
+    fn tell_loads(&mut self, now: Duration, mouth: &mut dyn Mouth, ear: &mut dyn Ear) {
+        let Some(loads) = self.lean.as_mut().map(|lean| lean.tick(ear)).filter(|loads| !loads.is_empty())
+        else {
+            return;
+        };
+        let bytes = encode_loads(self.about.location as u16, &loads);
+        for (number, _) in self.mates.iter().filter(|(_, mate)| now < mate.heard + SILENT) {
+            mouth.say(To::One(*number), &bytes);
+        }
+    }
+
     /// The caches of this location, anew.
     pub fn caches<'a>(&mut self, names: impl Iterator<Item = &'a Id>) {
         self.caches.clear();
@@ -160,12 +204,13 @@
     }
 
     /// Asks who is missing, tells the mates what was found.
-    pub fn tick(&mut self, now: Duration, mouth: &mut dyn Mouth) {
+    pub fn tick(&mut self, now: Duration, mouth: &mut dyn Mouth, ear: &mut dyn Ear) {
         if now < self.next {
             return;
         }
         // After a pause no periods are made up for.
         self.next = now + PERIOD;
+        self.tell_loads(now, mouth, ear);
         let location = self.about.location as u16;
         if now >= self.ask && self.mates.len() + 1 < self.about.routers_here {
             mouth.say(To::All, &Datagram { looking: true, location, findings: Vec::new() }.encode());
@@ -198,6 +243,19 @@
         let there_is = from < self.about.routers as u64 && from != self.about.number;
         // More than the location has are not mates, whoever they are.
         let full = || self.mates.len() + 1 >= self.about.routers_here && !self.mates.contains_key(&from);
+        if let Some(loads) = decode_loads(bytes) {
+            match (loads, &mut self.lean) {
+                (Err(_), _) => self.dropped.faulty += 1,
+                // Only of who was heard as a mate: loads make nobody one.
+                (Ok((location, loads)), Some(lean))
+                    if self.mates.contains_key(&from) && usize::from(location) == self.about.location =>
+                {
+                    lean.heard(&loads, PERIOD.as_secs_f64());
+                }
+                _ => {}
+            }
+            return;
+        }
         let Ok(datagram) = Datagram::decode(bytes) else {
             self.dropped.faulty += 1;
             return;
@@ -251,6 +309,10 @@
     #[derive(Default)]
     struct Heard(Vec<(u32, Id)>);
 
+    impl Leaning for Heard {
+        fn lean(&mut self, _cache: &Id, _by: f64) {}
+    }
+
     impl Ear for Heard {
         fn found(&mut self, _now: Duration, part: u32, cache: Id) {
             self.0.push((part, cache));
@@ -290,7 +352,7 @@
                 for number in 0..12 {
                     let mut said = Said::default();
                     let Some(talk) = &mut self.talks[number] else { continue };
-                    talk.tick(ms(now), &mut said);
+                    talk.tick(ms(now), &mut said, &mut Heard::default());
                     for (to, bytes) in said.0 {
                         self.to_all += usize::from(to == To::All);
                         let others = (0..12).filter(|o| *o != number);
@@ -363,7 +425,7 @@
         let (mut talk, mut asked) = (talk(0, 0), 0);
         for now in 0..600_000 {
             let mut said = Said::default();
-            talk.tick(ms(now), &mut said);
+            talk.tick(ms(now), &mut said, &mut Heard::default());
             asked += said.0.len();
         }
         assert!((10..=16).contains(&asked), "{asked} in ten minutes");
@@ -387,7 +449,7 @@
         }
         assert_eq!(talk.queue.len(), QUEUED_MOST);
         let mut said = Said::default();
-        talk.tick(ms(600), &mut said);
+        talk.tick(ms(600), &mut said, &mut Heard::default());
         assert!(said.0.len() <= 1 + 5 * DATAGRAMS_MOST);
         assert_eq!(talk.dropped.untold, 10_000 - QUEUED_MOST as u64);
     }
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -21,7 +21,7 @@
 use chalkhall_store::threads::End;
 use serde_json::{Value, json};
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -149,6 +149,8 @@
     out: usize,
     object: f64,
     refused: Brief,
+    /// KB a second of one answer.
+    pace: f64,
 }
 
 impl Desk {
@@ -190,6 +192,8 @@
             due: self.clock.instant(self.now + limit),
             leave_by: self.clock.instant(self.now + self.leave_within),
         });
+        let work = taken.arrival.kb / self.pace;
+        self.talk.iter_mut().for_each(|(talk, _)| talk.sent(server, work));
         let post = self.posts.get(server).map(|post| post.orders.clone());
         if post.as_ref().is_none_or(|orders| orders.try_send(Order::Ask(ask)).is_err()) {
             self.refused
@@ -260,6 +264,7 @@
     /// Places of own copies, until they have gone to the decisions with the first list.
     places: Vec<Member>,
     confined: Option<Confined>,
+    warm_within: Duration,
     limits: Limits,
     /// By category: whether its accesses must not run twice.
     once: Vec<bool>,
@@ -302,12 +307,14 @@
             out: 0,
             object: OBJECT_MOST,
             refused: Brief::default(),
+            pace: deployment.client_kb_per_s.max(1e-9),
         };
         Decider {
             router: Router::start(now, deployment, &mut desk),
             desk,
             places,
             confined,
+            warm_within: deployment.cold_cache.warm_within,
             once: deployment.categories.iter().map(|c| c.effect == Effect::Unrepeatable).collect(),
             bodies_most: limits.memory as f64 / 2.0,
             // Idle connections are closed before the other side does.
@@ -543,7 +550,10 @@
             (["peers", "stat"], _) => match &self.desk.talk {
                 Some((talk, _)) => {
                     let ((lately, ever), d) = (talk.mates(self.desk.now), talk.dropped());
+                    let weights: BTreeMap<&str, f64> =
+                        talk.weights().map(|(cache, by)| (&**cache, by)).collect();
                     json!({
+                        "weights": weights,
                         "mates": lately, "known": ever,
                         "strangers": d.strangers, "faulty": d.faulty, "flood": d.flood, "untold": d.untold,
                     })
@@ -562,7 +572,7 @@
         if let Some((talk, saying)) = &mut self.desk.talk
             && self.desk.now >= talk.next()
         {
-            talk.tick(self.desk.now, saying);
+            talk.tick(self.desk.now, saying, &mut self.router);
         }
         let Some(own) = &mut self.desk.own else { return };
         own.tick(late);
@@ -628,7 +638,11 @@
                 members.append(&mut self.places);
                 self.router.list(now, kind, &members, &mut self.desk);
                 if let Some((talk, _)) = &mut self.desk.talk {
-                    talk.caches(self.router.caches());
+                    talk.caches(self.router.caches().map(|m| &m.server));
+                    // One that is cold or drains has less to do than it could, and is not evened out.
+                    let warm = |at: Duration| now >= at + self.warm_within;
+                    let even = |m: &&Member| m.standing == Standing::Active && m.started.is_none_or(warm);
+                    talk.even(self.router.caches().filter(even).map(|m| (m.server.clone(), m.capacity)));
                 }
             }
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -83,7 +83,12 @@
     let talk = told.peers.as_ref().filter(|_| directives.peers.tell).and_then(|_| {
         let here = deployment.routers_at.get(location).copied().unwrap_or(0);
         let (number, routers, seed) = (deployment.number, deployment.routers, deployment.seed);
-        Talk::start(clock.now(), About { number, routers, location, routers_here: here, seed })
+        let mut talk =
+            Talk::start(clock.now(), About { number, routers, location, routers_here: here, seed })?;
+        if directives.peers.even_load {
+            talk.even_load();
+        }
+        Some(talk)
     });
     let (saying, sayings) = peers::saying();
     let socket_of_peers = match &told.peers {
--- a/src/control.rs
+++ b/src/control.rs
@@ -3,12 +3,13 @@
 //! passes `Router::send`, where the rules are enforced, and leaves a closure for its result.
 
 use crate::interface::*;
+pub use crate::state::part_of;
 use crate::state::{Access as Taken, Route, Seen};
-use chalkhall_structures::{Recent, Window};
+use chalkhall_structures::{Recent, Window, draw};
 use lru::LruCache;
 use std::collections::{BTreeMap, HashMap};
 use std::{num::NonZeroUsize, time::Duration};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The id list's bound; the sightings that gate and ranks need first; how many are recent (design page).
 const ID_LIST: NonZeroUsize = NonZeroUsize::new(65536).unwrap();
@@ -71,11 +72,6 @@
     }
 }
 
-/// The key of a part: 31 bits, as routers tell one another.
-pub fn part_of(arrival: &Arrival) -> u32 {
-    (xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part) >> 33) as u32
-}
-
 impl IdList {
     /// The rank at which a copy is kept; 0: passed unkept. `shared`: a first sighting is taken for a repeat.
     fn sight(&mut self, now: Duration, arrival: &Arrival, fresh: Option<Duration>, shared: bool) -> u8 {
@@ -121,6 +117,8 @@
     out: u32,
 
     record: Judged,
+    /// It draws by its capacity times e to the power of this.
+    lean: f64,
     in_time: f64,
     heard: Duration,
     /// All that a connection carried breaks with it: until then that is one failure.
@@ -336,9 +334,14 @@
     }
 
     /// The caches of its location that are not gone.
-    pub fn caches(&self) -> impl Iterator<Item = &Id> {
-        let here = |s: &&Server| s.member.tier == Tier::Cache && s.member.location == self.location;
-        self.servers.values().filter(here).map(|s| &s.member.server)
+    pub fn caches(&self) -> impl Iterator<Item = &Member> {
+        let here = |m: &&Member| m.tier == Tier::Cache && m.location == self.location;
+        self.servers.values().map(|s| &s.member).filter(here)
+    }
+
+    /// A cache is to draw that much more or less, as its location's routers agree.
+    pub fn lean(&mut self, cache: &Id, by: f64) {
+        self.servers.get_mut(cache).into_iter().for_each(|server| server.lean = by);
     }
 
     fn held(&self, part: u32) -> Option<Id> {
@@ -491,11 +494,8 @@
     /// aside. Each member draws its own number for an object: one that fails moves its own objects only.
     fn pick(&self, now: Duration, tier: Tier, any: bool, access: &Access) -> Option<&Server> {
         let part = if tier == Tier::Parent { access.arrival.part } else { 0 };
-        let draw = |s: &Server| {
-            let seed = xxh3_64(s.member.server.as_bytes()).wrapping_add(part);
-            let hash = xxh3_64_with_seed(access.arrival.object.as_bytes(), seed);
-            -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / s.member.capacity.max(1e-9)
-        };
+        let weight = |s: &Server| s.member.capacity * s.lean.exp();
+        let draw = |s: &Server| draw(&s.member.server, &access.arrival.object, part, weight(s));
         let of_cell = |s: &Server| access.arrival.cell.is_none_or(|cell| s.member.cells.contains(&cell));
         let here = |s: &Server| s.member.location == self.location && of_cell(s);
         let near = |s: &Server| s.member.tier == tier && (tier != Tier::Cache || here(s));
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,12 @@
 
 use crate::interface::{Arrival, Id};
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The key of a part: 31 bits, as routers tell one another.
+pub fn part_of(arrival: &Arrival) -> u32 {
+    (xxh3_64_with_seed(arrival.object.as_bytes(), arrival.part) >> 33) as u32
+}
 
 /// What the id list holds of one part of an object: stamps in accesses and in time, and the access cost.
 #[derive(Default)]
