--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -149,8 +149,8 @@
 pub enum Fleet {
     /// Plays a file: starts its routers, plays its work and faults, watches the rules, tells the figures
     #[command(
-        after_help = "Exit codes: 0 all that must hold holds; 1 it falls short, or could not be played; 3 the play is void:
-this machine was too busy to tell.
+        after_help = "Exit codes: 0 all that must hold holds; 1 it falls short, or could not be played;
+3 the play is void: this machine was too busy to tell.
 
 Examples:
   chalkhall fleet play crates/fleet/plays/calm.play
--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -1,4 +1,5 @@
-//! Fleets of real routers, as an operator plays them: short forms of what `make proof-even` plays at full size.
+//! Fleets of real routers, as an operator plays them: short forms of what `make proof-even` plays at full
+//! size.
 
 use serde_json::Value;
 use std::path::PathBuf;
--- a/crates/fleet/src/children.rs
+++ b/crates/fleet/src/children.rs
@@ -1,6 +1,6 @@
-//! Router processes as children of this one: started, signalled by their own process ids alone, and never left behind:
-//! each is begun by a starter of this program that asks the kernel to kill it when its parent dies, and becomes the
-//! router then.
+//! Router processes as children of this one: started, signalled by their own process ids alone, and never
+//! left behind: each is begun by a starter of this program that asks the kernel to kill it when its parent
+//! dies, and becomes the router then.
 
 use rustix::process::{Pid, Resource, Signal, getrlimit, kill_process, set_parent_process_death_signal};
 use std::ffi::OsString;
@@ -145,8 +145,9 @@
     Reap(Router),
 }
 
-/// Starts and buries on a thread of its own: writing files, starting and waiting for what was killed take long when
-/// there are a hundred at once. Children die with the thread that started them, so it lives as long as they do.
+/// Starts and buries on a thread of its own: writing files, starting and waiting for what was killed take
+/// long when there are a hundred at once. Children die with the thread that started them, so it lives as long
+/// as they do.
 pub struct Starter {
     orders: mpsc::Sender<Order>,
     thread: Option<thread::JoinHandle<()>>,
--- a/crates/fleet/src/copies.rs
+++ b/crates/fleet/src/copies.rs
@@ -1,5 +1,5 @@
-//! Copies that a server holds, by rank and bytes: a new one pushes out only its own rank or lower, the lowest first,
-//! in a rank what was used longest ago; else it is not kept.
+//! Copies that a server holds, by rank and bytes: a new one pushes out only its own rank or lower, the lowest
+//! first, in a rank what was used longest ago; else it is not kept.
 
 use lru::LruCache;
 
@@ -103,7 +103,9 @@
 
     proptest! {
         #[test]
-        fn bytes_are_counted_and_bounded(ops in prop::collection::vec((0u64..20, 0usize..4, 0.5f64..12.0), 1..200)) {
+        fn bytes_are_counted_and_bounded(
+            ops in prop::collection::vec((0u64..20, 0usize..4, 0.5f64..12.0), 1..200),
+        ) {
             let mut copies = Copies::new(40.0);
             for (key, rank, kb) in ops {
                 copies.keep((key, 0), rank, copy(kb));
--- a/crates/fleet/src/even.rs
+++ b/crates/fleet/src/even.rs
@@ -1,8 +1,8 @@
-//! How even load lies on the caches, measured from outside on what was truly sent; and the same work dealt out by
-//! other rules, from the plain hash to one that sees all.
+//! How even load lies on the caches, measured from outside on what was truly sent; and the same work dealt
+//! out by other rules, from the plain hash to one that sees all.
 //!
-//! All by location and window: a server's load is the work sent to it (seconds at a client's pace) over what it could
-//! do (capacity x warmth at that instant).
+//! All by location and window: a server's load is the work sent to it (seconds at a client's pace) over what
+//! it could do (capacity x warmth at that instant).
 //!
 //! | figure | what |
 //! | --- | --- |
@@ -10,11 +10,11 @@
 //! | `worst` | the worst of those |
 //! | `idle` | share of server-windows, warm and in the list, under a quarter of the mean |
 //! | `jain` | Jain's index of fairness (1984), averaged: 1 is even, 1/n all on one |
-//! | `swing` | servers that went from over 1.5 x the mean to under 0.5 x and back within 5 windows of a second |
-//! | `herd` | after an event: the largest share of routers that send next to one server, over that of the hash |
+//! | `swing` | servers that went from over 1.5 x the mean to under 0.5 x and back within 5 s |
+//! | `herd` | after an event: the most routers that send next to one server, over that of the hash |
 //!
-//! Windows in which a location was sent less than [`LEAST`] accesses a server say nothing and are left out: of a
-//! handful, chance alone makes one the busiest by far.
+//! Windows in which a location was sent less than [`LEAST`] accesses a server say nothing and are left out:
+//! of a handful, chance alone makes one the busiest by far.
 
 use crate::copies::Key;
 use crate::truth::Sent;
@@ -58,7 +58,8 @@
     }
 }
 
-/// The design's hash: what each server draws for an object, in proportion to its capacity; the least takes it.
+/// The design's hash: what each server draws for an object, in proportion to its capacity; the least takes
+/// it.
 pub fn draw(server: &str, object: &str, capacity: f64) -> f64 {
     let hash = xxh3_64_with_seed(object.as_bytes(), xxh3_64(server.as_bytes()));
     -((hash as f64 + 1.0) / 2f64.powi(64)).ln() / capacity.max(1e-9)
@@ -138,8 +139,8 @@
     }
 }
 
-/// Servers that go from crowded to idle and back within five seconds: routers that move together. Both turns must
-/// stand out of the noise of their counts by three deviations.
+/// Servers that go from crowded to idle and back within five seconds: routers that move together. Both turns
+/// must stand out of the noise of their counts by three deviations.
 fn swings(sent: &[Sent], places: &[Place], from: Duration, to: Duration) -> usize {
     let windows = windows(sent, places, from, to, Duration::from_secs(1));
     let mut by_server: BTreeMap<usize, Vec<(u64, i8)>> = BTreeMap::new();
@@ -166,8 +167,9 @@
     by_server.values().filter(|turns| back(turns)).count()
 }
 
-/// Over the routers of the location, the largest share whose first access after `at`, within a second, went to the
-/// same server; over the same for where the hash would have sent those accesses. None: hardly anybody sent.
+/// Over the routers of the location, the largest share whose first access after `at`, within a second, went
+/// to the same server; over the same for where the hash would have sent those accesses. None: hardly anybody
+/// sent.
 pub fn herd(sent: &[Sent], places: &[Place], location: usize, at: Duration) -> Option<f64> {
     let until = at + Duration::from_secs(1);
     let mut first: BTreeMap<usize, &Sent> = BTreeMap::new();
@@ -211,8 +213,8 @@
 /// The same accesses, sent where a rule sends them. An access counts as under way for its work's time.
 pub fn deal(sent: &[Sent], places: &[Place], rule: Rule, from: Duration, width: Duration) -> Vec<Sent> {
     let mut out: HashMap<(usize, usize), VecDeque<Duration>> = HashMap::new();
-    // What each server of a location was given in this window, and what the location is asked for in all of it.
-    // What came before the first window is dealt out like the rest, and measured by nobody.
+    // What each server of a location was given in this window, and what the location is asked for in all of
+    // it. What came before the first window is dealt out like the rest, and measured by nobody.
     let mut given: HashMap<(usize, Option<u64>), f64> = HashMap::new();
     let mut asked: HashMap<(usize, Option<u64>), f64> = HashMap::new();
     let window = |at: Duration| (at >= from).then(|| ((at - from).as_nanos() / width.as_nanos()) as u64);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,6 +1,6 @@
-//! Hundreds of real router processes on loopback, with all they talk to in one process beside them, and faults
-//! between any two: what tests, proofs and operators play and measure. Nothing here decides anything of a router's;
-//! it knows what is true and watches.
+//! Hundreds of real router processes on loopback, with all they talk to in one process beside them, and
+//! faults between any two: what tests, proofs and operators play and measure. Nothing here decides anything
+//! of a router's; it knows what is true and watches.
 //!
 //! | module | what |
 //! | --- | --- |
--- a/crates/fleet/src/net.rs
+++ b/crates/fleet/src/net.rs
@@ -1,6 +1,7 @@
-//! What routers say to one another passes here, and may be lost, doubled, late or turned round. Needs no privilege:
-//! each router is told, as its mates' addresses, one socket of this net for each router; what router i sends to j's
-//! socket is known by where it comes from, and goes on from i's socket to j. So each sees its mates where it was told.
+//! What routers say to one another passes here, and may be lost, doubled, late or turned round. Needs no
+//! privilege: each router is told, as its mates' addresses, one socket of this net for each router; what
+//! router i sends to j's socket is known by where it comes from, and goes on from i's socket to j. So each
+//! sees its mates where it was told.
 
 use chalkhall_members::codec::{Datagram, Finding, KEY_BITS, MOST_BYTES};
 use std::net::SocketAddr;
@@ -133,7 +134,8 @@
     use tokio::task::LocalSet;
     use tokio::time::timeout;
 
-    /// Sends from router 0 to router 1's place in some weather; how many arrive, and from whom they seem to be.
+    /// Sends from router 0 to router 1's place in some weather; how many arrive, and from whom they seem to
+    /// be.
     fn arrive(weather: Weather, count: u8) -> (Vec<u8>, bool) {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
         LocalSet::new().block_on(&runtime, async {
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -1,5 +1,6 @@
-//! A play, played: one task, the world, owns what is true and hears from every connection; the routers are processes.
-//! One thread does all of it, so the run says how late its own turns came, and is void where they came too late.
+//! A play, played: one task, the world, owns what is true and hears from every connection; the routers are
+//! processes. One thread does all of it, so the run says how late its own turns came, and is void where they
+//! came too late.
 
 use crate::children::{self, Program, Router, Starter, Wanted};
 use crate::copies::{Copy, Key};
@@ -372,7 +373,8 @@
         Ok(number)
     }
 
-    /// What servers hold that have run for long: the most wanted, where the hash puts it, as far as there is room.
+    /// What servers hold that have run for long: the most wanted, where the hash puts it, as far as there is
+    /// room.
     fn warm(&mut self) {
         let unix = self.truth.unix(Duration::ZERO);
         let mut room: Vec<f64> = vec![self.play.fleet.memory_kb * 0.9; self.truth.servers.len()];
@@ -425,7 +427,8 @@
             Standing::Draining => "leaving",
             Standing::Gone => "left",
         };
-        json!({"host": at.name, "dial": self.doors[server][group].at.to_string(), "site": site, "class": class,
+        json!({"host": at.name, "dial": self.doors[server][group].at.to_string(),
+            "site": site, "class": class,
             "block": server, "health": health, "share": at.capacity,
             "born_ms": started.map_or(0, |at| self.truth.unix(at))})
     }
@@ -517,10 +520,12 @@
         let mut settings = self.settings.clone();
         settings["Locality"] = json!(process.location);
         settings["MyNumber"] = json!(router);
+        let life = u64::from(process.life);
+        let seed = self.setup.seed.wrapping_mul(7919) ^ (router as u64) << 8 ^ life;
         let listen = process.listen;
         let own = SocketAddr::new(listen.ip(), 7946);
         let file = json!({"name": format!("n{router}"), "listen": listen.to_string(),
-            "seed": format!("{:016x}", self.setup.seed.wrapping_mul(7919) ^ (router as u64) << 8 ^ u64::from(process.life)),
+            "seed": format!("{seed:016x}"),
             "limits": {"cores": 1, "memory_mb": 64, "sockets": 1024}, "board": board.to_string(),
             "peer_listen": own.to_string(), "peers": peers, "peers_all": all,
             "flow_bytes_per_s": 1_000_000, "link_bytes_per_s": 8_000_000,
@@ -1301,7 +1306,8 @@
     let (fleet, work) = (&play.fleet, &play.work);
     let ms = |span: Duration| span.as_millis() as u64;
     let class = |name: &str, effect: &str, worth: f64| {
-        json!({"Name": name, "Effect": effect, "Group": "all", "Window": 5000, "Aim": ms(work.soft), "AimStretch": 0,
+        json!({"Name": name, "Effect": effect, "Group": "all", "Window": 5000, "Aim": ms(work.soft),
+            "AimStretch": 0,
             "HardLimit": ms(work.patience), "Worth": worth, "LateWorth": LATE_BENEFIT, "Stream": false})
     };
     let zones =
@@ -1310,12 +1316,15 @@
     let crews: Vec<usize> = (0..fleet.locations).map(here).chain([0]).collect();
     json!({
         "Classes": [class("page", "pure", 1.0), class("confirm", "side_effect", 1.0)],
-        "FamilyInfo": {"ClassFresh": [ms(work.fresh), 0], "ClassWrite": [false, true], "ClientKbPerS": fleet.pace,
-            "CrewByZone": crews, "HomeHub": vec![0; fleet.locations + 1], "ObeyAfter": 500, "PassThroughOk": true,
+        "FamilyInfo": {"ClassFresh": [ms(work.fresh), 0], "ClassWrite": [false, true],
+            "ClientKbPerS": fleet.pace,
+            "CrewByZone": crews, "HomeHub": vec![0; fleet.locations + 1], "ObeyAfter": 500,
+            "PassThroughOk": true,
             "ParentFloor": fleet.cold_from, "ParentRamp": ms(fleet.warm_within), "ParentFallMultiple": 2,
             "PurgeDone": 6000, "Says": "all", "ShieldKind": 1, "SourceKind": 2},
         "Granularity": 2, "Kinds": ["cache", "parent", "origin"],
-        "Limits": {"ConnectTimeout": 400, "IdleClose": 30000, "MaxAttempts": 8, "MaxOpen": 20000, "MaxRetryAfter": 500,
+        "Limits": {"ConnectTimeout": 400, "IdleClose": 30000, "MaxAttempts": 8, "MaxOpen": 20000,
+            "MaxRetryAfter": 500,
             "MayCancel": true, "PeerMessages": true, "RetryAfter": true, "StreamsPerConn": 100},
         "Locality": 0, "MyNumber": 0, "PeersTotal": fleet.routers, "RegistryMode": "push", "Zones": zones,
         "Weights": "nominal",
--- a/crates/fleet/src/station.rs
+++ b/crates/fleet/src/station.rs
@@ -1,6 +1,6 @@
-//! What transfers share: each runs at a client's pace at most, and where more are under way than there is room for,
-//! all get the same part of it (processor sharing). Time is handed in; ends come out in their order, each with its
-//! own instant, however late they are asked for.
+//! What transfers share: each runs at a client's pace at most, and where more are under way than there is
+//! room for, all get the same part of it (processor sharing). Time is handed in; ends come out in their
+//! order, each with its own instant, however late they are asked for.
 
 use std::cmp::Ordering;
 use std::collections::BinaryHeap;
@@ -147,10 +147,12 @@
     }
 
     proptest! {
-        /// Work is neither lost nor made: all that comes ends, not before its work at full pace, and all of it not
-        /// before the station could have done it.
+        /// Work is neither lost nor made: all that comes ends, not before its work at full pace, and all of
+        /// it not before the station could have done it.
         #[test]
-        fn work_is_kept(capacity in 0.2f64..8.0, works in prop::collection::vec((0u64..50, 0.001f64..0.2), 1..60)) {
+        fn work_is_kept(
+            capacity in 0.2f64..8.0, works in prop::collection::vec((0u64..50, 0.001f64..0.2), 1..60),
+        ) {
             let mut station = Station::new(capacity);
             let (mut now, mut ends, mut begins) = (ms(0), Vec::new(), Vec::new());
             for (n, (gap, work)) in works.iter().enumerate() {
--- a/crates/fleet/src/truth.rs
+++ b/crates/fleet/src/truth.rs
@@ -1,12 +1,13 @@
-//! The servers as they truly are: caches by location, parents, the origin. No I/O: executions come in, answers come
-//! out, time is handed in. What it models, and how plainly:
+//! The servers as they truly are: caches by location, parents, the origin. No I/O: executions come in,
+//! answers come out, time is handed in. What it models, and how plainly:
 //!
 //! - a transfer runs at a client's pace at most; a server's transfers share its capacity ([`Station`]);
-//! - a fill has its transfer at the parent, then one of half the work on its location's link, then half a transfer at
-//!   the cache; a parent that lacks the object has it from the origin before, after [`ORIGIN_WAIT`];
+//! - a fill has its transfer at the parent, then one of half the work on its location's link, then half a
+//!   transfer at the cache; a parent that lacks the object has it from the origin before, after
+//!   [`ORIGIN_WAIT`];
 //! - copies are held by rank and bytes ([`Copies`]); parents know no ranks;
-//! - who has started lately gives a share of its capacity, rising in a line; sent more than `MULTIPLE` times what it
-//!   can do within `SPAN` it has been pushed over, which [`Watch`] counts.
+//! - who has started lately gives a share of its capacity, rising in a line; sent more than `MULTIPLE` times
+//!   what it can do within `SPAN` it has been pushed over, which [`Watch`] counts.
 
 use crate::copies::{Copies, Copy, Key};
 use crate::station::Station;
@@ -21,7 +22,8 @@
 const ORIGIN_WAIT: Duration = Duration::from_millis(30);
 /// What is said at once takes this long.
 const AT_ONCE: Duration = Duration::from_millis(1);
-/// A server takes this multiple of its capacity at a time, and more are turned away unseen; so many fills of a cache.
+/// A server takes this multiple of its capacity at a time, and more are turned away unseen; so many fills of
+/// a cache.
 const OPEN_MOST: f64 = 16.0;
 const FILLS_MOST: usize = 48;
 
@@ -263,7 +265,8 @@
         self.servers.len() - 1
     }
 
-    /// A server's process is gone: what is open there breaks. Returns whose executions, for their connections.
+    /// A server's process is gone: what is open there breaks. Returns whose executions, for their
+    /// connections.
     pub fn lose(&mut self, now: Duration, server: usize) {
         self.go(now);
         let lost = self.servers[server].station.drop_but(now, |_| false);
--- a/crates/fleet/src/watch.rs
+++ b/crates/fleet/src/watch.rs
@@ -1,8 +1,8 @@
-//! Watches the five rules and that every access has one end, over all routers together, by what the world around them
-//! knows. It decides nothing and stops nothing: it counts, and keeps the first breaks in words.
+//! Watches the five rules and that every access has one end, over all routers together, by what the world
+//! around them knows. It decides nothing and stops nothing: it counts, and keeps the first breaks in words.
 //!
-//! Clocks: a break counts from when a message was read here, which on a busy machine may be a while after it was
-//! written. [`SLACK`] is granted for that; a run whose own turns came late is void anyway.
+//! Clocks: a break counts from when a message was read here, which on a busy machine may be a while after it
+//! was written. [`SLACK`] is granted for that; a run whose own turns came late is void anyway.
 
 use crate::copies::Key;
 use std::collections::HashMap;
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,6 +1,6 @@
-//! The stand-ins' ends of the routers' connections: cache servers, parents and origin, notice boards, clients. Each
-//! connection is a task that reads whole messages, hands them to the world, and writes what the world says. Nothing is
-//! known here of what is true.
+//! The stand-ins' ends of the routers' connections: cache servers, parents and origin, notice boards,
+//! clients. Each connection is a task that reads whole messages, hands them to the world, and writes what the
+//! world says. Nothing is known here of what is true.
 
 use crate::copies::Key;
 use bytes::{Buf, Bytes, BytesMut};
@@ -506,7 +506,8 @@
 
     #[test]
     fn orders_are_read_as_the_protocol_writes_them() {
-        let line = "ASK 00000000000000a1 cls=page,item=7f3a9c21e0b4d655,chunk=3,limit=900,src=p1,keep=2,maxage=500,\
+        let line = "ASK 00000000000000a1 cls=page,item=7f3a9c21e0b4d655,chunk=3,limit=900,src=p1,keep=2,\
+                    maxage=500,\
                     flags=collapse+only-if-cached 12";
         let Some(Order::Ask(asked, 12)) = order(line) else { panic!("not read") };
         assert_eq!((asked.id, asked.key), (0xa1, (0x7f3a9c21e0b4d655, 3)));
--- a/crates/fleet/src/work.rs
+++ b/crates/fleet/src/work.rs
@@ -1,5 +1,5 @@
-//! The work of a play, drawn from its seed before it begins: who asks which router for what, and when. Open-loop:
-//! nothing that routers do delays what comes next (coordinated omission).
+//! The work of a play, drawn from its seed before it begins: who asks which router for what, and when.
+//! Open-loop: nothing that routers do delays what comes next (coordinated omission).
 
 use crate::copies::Key;
 use crate::play::{Play, What};
--- a/crates/members/src/lean.rs
+++ b/crates/members/src/lean.rs
@@ -1,15 +1,16 @@
-//! How much more or less than its capacity each cache of the location is to draw from the hash, so that load lies even.
-//! The hash shares out objects, not work: what is wanted most lies where it falls, and one cache of four has a third
-//! more than the others for good. One router of twenty sees too little to tell that from chance; together they see it.
+//! How much more or less than its capacity each cache of the location is to draw from the hash, so that load
+//! lies even. The hash shares out objects, not work: what is wanted most lies where it falls, and one cache
+//! of four has a third more than the others for good. One router of twenty sees too little to tell that from
+//! chance; together they see it.
 //!
-//! Each period a router tells its mates the work it sent to each cache. All add up what they hear over [`MEMORY`] and
-//! turn each cache's weight in the hash a little against what it has too much of. Weights move objects by the hash, so
-//! routers that heard the same move the same ones, to wherever each hashes next; [`GAIN`] is small against the memory,
-//! so that the same word heard by all makes nobody swing.
+//! Each period a router tells its mates the work it sent to each cache. All add up what they hear over
+//! [`MEMORY`] and turn each cache's weight in the hash a little against what it has too much of. Weights move
+//! objects by the hash, so routers that heard the same move the same ones, to wherever each hashes next;
+//! [`GAIN`] is small against the memory, so that the same word heard by all makes nobody swing.
 //!
-//! Nothing rests on a mate: with none heard a router leans by what it sent itself, which is little, and back to nothing
-//! where it sends too little to tell. No word moves a weight past [`MOST`], so a lie costs evenness within that, never
-//! a rule: who may be sent to, and how much, is decided where every send passes.
+//! Nothing rests on a mate: with none heard a router leans by what it sent itself, which is little, and back
+//! to nothing where it sends too little to tell. No word moves a weight past [`MOST`], so a lie costs
+//! evenness within that, never a rule: who may be sent to, and how much, is decided where every send passes.
 
 use crate::codec::{Load, mark};
 use chalkhall::interface::Id;
@@ -17,7 +18,8 @@
 
 /// Periods over which work is remembered: a part of what is held goes with each.
 pub const MEMORY: f64 = 10.0;
-/// Share of what a weight is off by that one period turns: well under 1/[`MEMORY`] would be slow, over it would swing.
+/// Share of what a weight is off by that one period turns: well under 1/[`MEMORY`] would be slow, over it
+/// would swing.
 pub const GAIN: f64 = 0.08;
 /// A weight is at most this multiple of the capacity, and at least one through it.
 pub const MOST: f64 = 2.0;
@@ -49,7 +51,8 @@
 }
 
 impl Lean {
-    /// The caches to be evened out, anew, with their capacities: those of the location that are there and warm.
+    /// The caches to be evened out, anew, with their capacities: those of the location that are there and
+    /// warm.
     pub fn caches(&mut self, caches: impl Iterator<Item = (Id, f64)>) {
         let mut before = std::mem::take(&mut self.caches);
         for (name, capacity) in caches {
@@ -158,8 +161,8 @@
         (0..count).min_by(|a, b| draw(*a).total_cmp(&draw(*b))).expect("caches")
     }
 
-    /// Routers that share a location and its work, all popular objects included; datagrams may be lost. The busiest
-    /// cache over the mean in the last ten seconds, with the weights at work and without.
+    /// Routers that share a location and its work, all popular objects included; datagrams may be lost. The
+    /// busiest cache over the mean in the last ten seconds, with the weights at work and without.
     fn peaks(routers: usize, loses: f64, seed: u64, liar: bool) -> (f64, f64, Vec<f64>) {
         let mut chance = fastrand::Rng::with_seed(seed);
         let count = 4;
--- a/crates/router/src/client.rs
+++ b/crates/router/src/client.rs
@@ -1,10 +1,9 @@
 //! One client's connection: reads its accesses, writes their answers in the order in which they come.
 
 use crate::clock::Clock;
-use crate::decider::{Last, Message, New, Reply};
 use crate::lines::Passed;
 use crate::link::at;
-use crate::listener::{Place, Word};
+use crate::messages::{Last, Message, New, Place, Reply, Word};
 use crate::phase::Phase;
 use crate::resp::{END, Frames, Nonsense, answer, fields, number};
 use bytes::{Buf, Bytes, BytesMut};
--- a/crates/router/src/control_socket.rs
+++ b/crates/router/src/control_socket.rs
@@ -1,8 +1,8 @@
 //! The control socket: one line of words in, one JSON object out, for `chalkhall`'s commands against a live
 //! router.
 
-use crate::decider::Message;
-use serde_json::{Value, json};
+use crate::messages::{Message, Question};
+use serde_json::json;
 use std::fs::{self, Permissions};
 use std::io;
 use std::os::unix::fs::{FileTypeExt, PermissionsExt};
@@ -21,12 +21,6 @@
 /// After an accept failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// A question from an operator, and where its answer goes.
-pub struct Question {
-    pub words: Vec<String>,
-    pub answer: oneshot::Sender<Value>,
-}
-
 /// A socket that only its owner may use; it is removed at the end.
 pub struct ControlSocket {
     listener: UnixListener,
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -3,16 +3,14 @@
 use crate::brief::Brief;
 use crate::clock::Clock;
 use crate::confined::Confined;
-use crate::control_socket::Question;
 use crate::lines::{Answer, Passed, ask};
-use crate::link::{Ask, Key};
+use crate::messages::{Ask, Ended, Last, Message, New, Order, Question, Reply};
 use crate::notices::Notice;
 use crate::own::{Got, Own};
 use crate::peers::Saying;
 use crate::phase::Phase;
-use crate::server::{Order, Server};
+use crate::server::Server;
 use crate::told::Limits;
-use bytes::Bytes;
 use chalkhall::control::Router;
 use chalkhall::interface::{
     self, Arrival, Deployment, Effect, Fill, Held, Id, ListKind, Member, Outcome, Outlet, Standing,
@@ -42,59 +40,6 @@
 /// Turns of all tasks within which what lies in the sockets has come from link to server to the decider.
 const HOPS: usize = 8;
 
-pub enum Message {
-    Access(Box<New>),
-    /// The client of this connection has given up what it asked under this tag, or is gone.
-    Left(Id, u64, mpsc::Sender<Reply>),
-    /// So many bytes of bodies have been written to a client, or dropped.
-    Written(usize),
-    Ended(Ended),
-    /// An order to the disk of own copies has ended.
-    Disk(End),
-    /// A datagram from the router of this number.
-    Peer(u64, Box<[u8]>),
-    /// An operator asks.
-    Question(Question),
-    Stop,
-}
-
-/// An access as a client's connection read it.
-pub struct New {
-    pub arrival: Arrival,
-    pub passed: Passed,
-    pub read_at: Duration,
-    pub tag: u64,
-    pub client: mpsc::Sender<Reply>,
-}
-
-pub struct Ended {
-    pub key: Key,
-    pub outcome: Outcome,
-    pub answer: Option<Box<Answer>>,
-}
-
-/// The final answer of an access, for its client.
-#[derive(Debug)]
-pub struct Reply {
-    pub tag: u64,
-    pub id: Id,
-    pub last: Last,
-}
-
-#[derive(Debug)]
-pub enum Last {
-    Honoured {
-        etag: Option<Bytes>,
-        body: Bytes,
-    },
-    /// The client's own copy holds.
-    Unchanged {
-        etag: Option<Bytes>,
-    },
-    Declined(Option<Duration>),
-    GivenUp,
-}
-
 /// Who waits for a final answer: a client, or the store, which is told by other ways.
 enum To {
     Client(mpsc::Sender<Reply>),
--- a/crates/router/src/link.rs
+++ b/crates/router/src/link.rs
@@ -3,10 +3,10 @@
 //! An execution waits unwritten until the connection stands and all before it has gone to the system; only
 //! from its first byte on may it have run. Each ends in one `Report::Ended`.
 
-use crate::lines::{Answer, Answers, Passed, quit};
-use crate::server::{Order, Report};
+use crate::lines::{Answer, Answers, quit};
+use crate::messages::{Ask, Key, LinkOrder, Order, Report};
 use bytes::{Buf, Bytes, BytesMut};
-use chalkhall::interface::{Id, Outcome};
+use chalkhall::interface::Outcome;
 use std::collections::{HashMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
@@ -22,27 +22,6 @@
 const EMFILE: i32 = 24;
 const ENFILE: i32 = 23;
 
-/// An execution of an access: the access's id and its number within it.
-pub type Key = (Id, usize);
-
-/// One execution on its way to a server.
-#[derive(Debug)]
-pub struct Ask {
-    pub key: Key,
-    pub passed: Passed,
-    pub line: BytesMut,
-    /// It must not run twice: where its connection breaks, it has failed.
-    pub once: bool,
-    /// When it has taken too long, and when its first byte must have left.
-    pub due: Instant,
-    pub leave_by: Instant,
-}
-
-pub enum LinkOrder {
-    Ask(Box<Ask>),
-    Quit(Key),
-}
-
 pub struct Link {
     pub number: u64,
     pub dial: SocketAddr,
@@ -275,6 +254,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::lines::Passed;
 
     fn ask(id: &'static str, due: Duration, leave_by: Duration) -> Box<Ask> {
         let passed = Passed { id: Bytes::from_static(id.as_bytes()), ..Passed::default() };
--- a/crates/router/src/listener.rs
+++ b/crates/router/src/listener.rs
@@ -3,7 +3,7 @@
 
 use crate::brief::Brief;
 use crate::client::{Client, Door};
-use crate::decider::Message;
+use crate::messages::{Message, Place, Word};
 use crate::phase::Phase;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
@@ -33,23 +33,6 @@
     socket.listen(WAITING_TO_BE_TAKEN)
 }
 
-/// A client's place: through it the client says whether it has anything open, and hears that another needs
-/// it.
-pub struct Place {
-    pub number: u64,
-    pub leave: mpsc::Receiver<()>,
-    pub says: mpsc::Sender<Word>,
-}
-
-/// What a client says of itself when it changes: nothing is open, or something; it has asked for something
-/// once.
-#[derive(Clone, Copy, Debug)]
-pub struct Word {
-    pub number: u64,
-    pub idle: bool,
-    pub asked: bool,
-}
-
 struct Held {
     leave: mpsc::Sender<()>,
     /// Where it stands among the idle: who has asked once or who never did, and since when.
--- /dev/null
+++ b/crates/router/src/messages.rs
@@ -0,0 +1,128 @@
+//! What the actors of a router say to one another: below all of them, so that none needs another's file.
+
+use crate::lines::{Answer, Passed};
+use bytes::{Bytes, BytesMut};
+use chalkhall::interface::{Arrival, Id, Outcome};
+use chalkhall_store::threads::End;
+use serde_json::Value;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// To the decider.
+pub enum Message {
+    Access(Box<New>),
+    /// The client of this connection has given up what it asked under this tag, or is gone.
+    Left(Id, u64, mpsc::Sender<Reply>),
+    /// So many bytes of bodies have been written to a client, or dropped.
+    Written(usize),
+    Ended(Ended),
+    /// An order to the disk of own copies has ended.
+    Disk(End),
+    /// A datagram from the router of this number.
+    Peer(u64, Box<[u8]>),
+    /// An operator asks.
+    Question(Question),
+    Stop,
+}
+
+/// An access as a client's connection read it.
+pub struct New {
+    pub arrival: Arrival,
+    pub passed: Passed,
+    pub read_at: Duration,
+    pub tag: u64,
+    pub client: mpsc::Sender<Reply>,
+}
+
+pub struct Ended {
+    pub key: Key,
+    pub outcome: Outcome,
+    pub answer: Option<Box<Answer>>,
+}
+
+/// The final answer of an access, for its client.
+#[derive(Debug)]
+pub struct Reply {
+    pub tag: u64,
+    pub id: Id,
+    pub last: Last,
+}
+
+#[derive(Debug)]
+pub enum Last {
+    Honoured {
+        etag: Option<Bytes>,
+        body: Bytes,
+    },
+    /// The client's own copy holds.
+    Unchanged {
+        etag: Option<Bytes>,
+    },
+    Declined(Option<Duration>),
+    GivenUp,
+}
+
+/// A question from an operator, and where its answer goes.
+pub struct Question {
+    pub words: Vec<String>,
+    pub answer: oneshot::Sender<Value>,
+}
+
+/// A client's place: through it the client says whether it has anything open, and hears that another needs
+/// it.
+pub struct Place {
+    pub number: u64,
+    pub leave: mpsc::Receiver<()>,
+    pub says: mpsc::Sender<Word>,
+}
+
+/// What a client says of itself when it changes: nothing is open, or something; it has asked for something
+/// once.
+#[derive(Clone, Copy, Debug)]
+pub struct Word {
+    pub number: u64,
+    pub idle: bool,
+    pub asked: bool,
+}
+
+/// An execution of an access: the access's id and its number within it.
+pub type Key = (Id, usize);
+
+/// One execution on its way to a server.
+#[derive(Debug)]
+pub struct Ask {
+    pub key: Key,
+    pub passed: Passed,
+    pub line: BytesMut,
+    /// It must not run twice: where its connection breaks, it has failed.
+    pub once: bool,
+    /// When it has taken too long, and when its first byte must have left.
+    pub due: Instant,
+    pub leave_by: Instant,
+}
+
+pub enum LinkOrder {
+    Ask(Box<Ask>),
+    Quit(Key),
+}
+
+/// To a server's actor.
+pub enum Order {
+    Ask(Box<Ask>),
+    Quit(Key),
+    /// The list tells of a start or an address: connections from before it lead elsewhere.
+    Anew {
+        dial: SocketAddr,
+        started: Option<Instant>,
+    },
+    Link(u64, Report),
+}
+
+/// From a connection to its server's actor.
+pub enum Report {
+    Up,
+    Ended { key: Key, outcome: Outcome, answer: Option<Box<Answer>>, silent: bool },
+    Down,
+}
--- a/crates/router/src/own.rs
+++ b/crates/router/src/own.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::lines::{Answer, Passed};
-use crate::link::Key;
+use crate::messages::Key;
 use crate::told::Told;
 use bytes::Bytes;
 use chalkhall::interface::{Arrival, Category, Held, Id, Load, Member, Outcome, Remark, Standing, Tier};
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -4,7 +4,7 @@
 //! list is dropped here.
 
 use crate::brief::Brief;
-use crate::decider::Message;
+use crate::messages::Message;
 use crate::told::Peers;
 use chalkhall_members::codec::MOST_BYTES;
 use chalkhall_members::{Mouth, To};
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -1,8 +1,8 @@
 //! A cache server, a parent or the origin: shares a few connections among the executions sent to it.
 
-use crate::decider::{Ended, Message};
 use crate::lines::Answer;
-use crate::link::{Ask, Key, Link, LinkOrder};
+use crate::link::Link;
+use crate::messages::{Ask, Ended, Key, LinkOrder, Message, Order, Report};
 use chalkhall::interface::{Id, Outcome};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -22,23 +22,6 @@
 /// Ids that were out on a connection and of which another answer may come that nobody wants.
 const OLD_IDS_MOST: usize = 256;
 
-pub enum Order {
-    Ask(Box<Ask>),
-    Quit(Key),
-    /// The list tells of a start or an address: connections from before it lead elsewhere.
-    Anew {
-        dial: SocketAddr,
-        started: Option<Instant>,
-    },
-    Link(u64, Report),
-}
-
-pub enum Report {
-    Up,
-    Ended { key: Key, outcome: Outcome, answer: Option<Box<Answer>>, silent: bool },
-    Down,
-}
-
 struct Held {
     number: u64,
     orders: mpsc::Sender<LinkOrder>,
