Fleet: a comment that said another thing, an unused function and unused words are gone

Seen at the last read of the change: Weather's seed bore the comment of a field that is not there; key_of and two arguments of failed were used by nobody. No behaviour, no file of the router.

--- a/crates/fleet/src/net.rs
+++ b/crates/fleet/src/net.rs
@@ -21,7 +21,7 @@
     pub late: Duration,
     /// By router: it hears nothing.
     pub deaf: Vec<bool>,
-    /// Datagrams longer than there may be, counted by nobody else.
+    /// Where its chance starts from.
     pub seed: u64,
 }
 
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -3,7 +3,7 @@
 //! came too late.
 
 use crate::children::{self, Program, Router, Starter, Wanted};
-use crate::copies::{Copy, Key};
+use crate::copies::Copy;
 use crate::even::{self, Place, Rule};
 use crate::net::{Carried, Net, Weather};
 use crate::play::{Fault, Part, Play, What, Whom};
@@ -785,7 +785,7 @@
         let (arrival, due) = (self.wants[want].arrival, self.wants[want].due);
         let left = due.saturating_sub(now);
         if left < Duration::from_millis(20) {
-            return self.failed(want, now, None);
+            return self.failed(want);
         }
         let home = arrival.router;
         let location = self.routers[home].location;
@@ -850,7 +850,7 @@
             }
             Answer::Failed | Answer::Wrong => {
                 self.second(now).failed += 1;
-                if write { self.failed(want, now, None) } else { self.again(want, now, Duration::ZERO) }
+                if write { self.failed(want) } else { self.again(want, now, Duration::ZERO) }
             }
         }
     }
@@ -869,7 +869,8 @@
         self.second(at).earned += earned;
     }
 
-    fn failed(&mut self, want: usize, _now: Duration, _why: Option<&str>) {
+    /// The client has what it will get: nothing.
+    fn failed(&mut self, want: usize) {
         self.wants[want].done = true;
     }
 
@@ -880,7 +881,7 @@
         let own = BACK_WITHIN.mul_f64(0.2 + 0.8 * self.chance.f64());
         let wait = if heeds && !told.is_zero() { told.mul_f64(1.0 + 0.2 * self.chance.f64()) } else { own };
         if tries > self.play.work.retries || now + wait >= due {
-            return self.failed(want, now, None);
+            return self.failed(want);
         }
         self.retries += 1;
         self.after(now + wait, Timer::Again(want));
@@ -901,7 +902,7 @@
             }
             self.truth.watch.ends(now, id, Final::Nothing);
             if self.wants[want].arrival.write && !refused {
-                self.failed(want, now, None);
+                self.failed(want);
             } else {
                 self.again(want, now, Duration::ZERO);
             }
@@ -1332,11 +1333,6 @@
             "TipMultiple": 2, "WarmWithin": ms(fleet.warm_within)}})
 }
 
-/// How an access is called by its part: what [`Key`] is made of.
-pub fn key_of(object: u64) -> Key {
-    (object, 0)
-}
-
 /// Whether a folder for logs is there.
 ///
 /// # Errors
