Each part of an object has a cache of its own by the hash, as it has a parent

Cause: pick() drew the caches of a location by the object alone (`let part = if tier == Parent ..`), so all 9 to 15 parts of a film met at one link.

--- a/src/control.rs
+++ b/src/control.rs
@@ -493,7 +493,7 @@
     /// The first that the hash prefers, moving on when one fails, is full or is crowded; `any`: also one set
     /// aside. Each member draws its own number for an object: one that fails moves its own objects only.
     fn pick(&self, now: Duration, tier: Tier, any: bool, access: &Access) -> Option<&Server> {
-        let part = if tier == Tier::Parent { access.arrival.part } else { 0 };
+        let part = access.arrival.part;
         let weight = |s: &Server| s.member.capacity * s.lean.exp();
         let draw = |s: &Server| draw(&s.member.server, &access.arrival.object, part, weight(s));
         let of_cell = |s: &Server| access.arrival.cell.is_none_or(|cell| s.member.cells.contains(&cell));
