A copy past its fresh time will do where fills are strained, and is renewed behind

Cause: Router::route() asked for fresh copies only, whatever a category allows. Change: past() gives the time that the category allows where as many fills are out as may be, the origin is set aside, or the access is on a further try; the order says renew. The bound of a purge holds as before, in oldest(). Covers: slow or failing origin, full links, dead parents, cold successors after a release. May harm where a fill would have been in time after all: such an answer earns stale_benefit, not all.

--- a/src/control.rs
+++ b/src/control.rs
@@ -513,10 +513,24 @@
         left.clone().find(|s| !crowded(s)).or(left.next())
     }
 
+    fn origin_fails(&self, now: Duration) -> bool {
+        self.servers.values().filter(|s| s.member.tier == Tier::Origin).all(|s| !s.record.sound(now))
+    }
+
+    /// How long past its fresh time a copy will do: where one renewed first would hardly be in time, what its
+    /// category allows. It is served and renewed behind.
+    fn past(&self, now: Duration, access: &Access) -> Duration {
+        let strained = self.fills_out >= self.fills_most || self.origin_fails(now);
+        let again = !access.executions.is_empty();
+        let allowed = self.categories[access.arrival.category].stale_for;
+        if strained || again { allowed } else { Duration::ZERO }
+    }
+
     fn route(&self, now: Duration, id: &Id) -> Option<Route> {
         let access = self.accesses.get(id)?;
         let name = |s: &Server| s.member.server.clone();
-        let to = |s: &Server, source| Route { server: name(s), source, made: None, past: Duration::ZERO };
+        let past = self.past(now, access);
+        let to = |s: &Server, source| Route { server: name(s), source, made: None, past };
         let straight = |s: &Server| to(s, name(s));
         let pick = |tier, any| self.pick(now, tier, any, access);
         // Where no parent is sound, nor the origin, the trouble is the origin's: parents have what they hold.
@@ -620,16 +634,15 @@
         if !lawful {
             return false;
         }
-        let mut origins = self.servers.values().filter(|s| s.member.tier == Tier::Origin);
         let fill = Fill {
             source: route.source.clone(),
             rank: if server.member.tier == Tier::Cache { access.rank } else { 0 },
             oldest,
             join: self.joins,
             // While the origin fails, what a parent fetches from it only holds up what it has.
-            only_held: source.member.tier == Tier::Parent && origins.all(|s| !s.record.sound(now)),
+            only_held: source.member.tier == Tier::Parent && self.origin_fails(now),
             parent_keeps: true,
-            renew: false,
+            renew: route.made.is_none() && !route.past.is_zero(),
         };
         let watched = category.effect == Effect::Idempotent && self.may_cancel && !category.streamed;
         let wait = (OVERHEAD + access.work).mul_f64(self.patience);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -44,8 +44,9 @@
         let (source, rank, limit) = (&fill.source, fill.rank, limit.as_millis());
         let held = if fill.only_held { "held" } else { "any" };
         let join = if fill.join { "join" } else { "alone" };
+        let renew = if fill.renew { " renew" } else { "" };
         let line = format!(
-            "execute {access} {server} from {source} rank {rank} oldest {oldest} {held} limit {limit} {join}"
+            "execute {access} {server} from {source} rank {rank} oldest {oldest} {held} limit {limit} {join}{renew}"
         );
         self.lines.push(line);
     }
