What no cache may keep is filled from the origin itself, and never only if held

Ruled out: the limit of fills (orders are none), declines by rule 2.

Scenario writes-by-way fails without.

--- a/src/control.rs
+++ b/src/control.rs
@@ -514,7 +514,8 @@
     }
 
     fn origin_fails(&self, now: Duration) -> bool {
-        self.servers.values().filter(|s| s.member.tier == Tier::Origin).all(|s| !s.record.sound(now))
+        let mut origins = self.servers.values().filter(|s| s.member.tier == Tier::Origin).peekable();
+        origins.peek().is_some() && origins.all(|s| !s.record.sound(now))
     }
 
     /// How long past its fresh time a copy will do: where one renewed first would hardly be in time, what its
@@ -539,14 +540,17 @@
             sound.or_else(|| pick(Tier::Parent, true)).or_else(|| pick(Tier::Origin, true))
         };
 
-        // What no cache may keep runs at the origin: the caches on the way could only fail it.
-        if self.pass_through
-            && !self.categories[access.arrival.category].cacheable
-            && let Some(origin) = pick(Tier::Origin, true)
-        {
-            return Some(straight(origin));
-        }
-        match pick(Tier::Cache, false).or_else(|| pick(Tier::Cache, true)) {
+        // What no cache may keep runs at the origin: caches and parents on the way could only fail it. One that
+        // could not be reached perhaps can be from elsewhere; one that is set aside would fail parents too.
+        let runs = !self.categories[access.arrival.category].cacheable;
+        let cache = || pick(Tier::Cache, false).or_else(|| pick(Tier::Cache, true));
+        match pick(Tier::Origin, true).filter(|_| runs) {
+            Some(origin) if self.pass_through => return Some(straight(origin)),
+            Some(origin) => return cache().map(|cache| to(cache, name(origin))),
+            None if runs && self.origin_fails(now) => return None,
+            None => {}
+        }
+        match cache() {
             // With no source left the cache itself is named: a plain send could bring a copy purged since.
             Some(cache) => Some(to(cache, name(source().unwrap_or(cache)))),
             None if self.pass_through => source().map(straight),
@@ -640,7 +644,7 @@
             oldest,
             join: self.joins,
             // While the origin fails, what a parent fetches from it only holds up what it has.
-            only_held: source.member.tier == Tier::Parent && self.origin_fails(now),
+            only_held: source.member.tier == Tier::Parent && category.cacheable && self.origin_fails(now),
             parent_keeps: true,
             renew: route.made.is_none() && !route.past.is_zero(),
         };
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -204,6 +204,7 @@
         if *verb == "given" {
             told.max_executions = field("executions", 6) as usize;
             told.joins = field("joins", 0) == 1;
+            told.pass_through = field("pass", 1) == 1;
             told.list_on_request = field("ask", 0) == 1;
             told.categories[1].stale_for = ms(field("stale", 0));
             told.routers_at[1] = field("here", 1) as usize;
