--- a/src/control.rs
+++ b/src/control.rs
@@ -553,8 +553,8 @@
             sound.or_else(|| pick(Tier::Parent, true)).or_else(|| pick(Tier::Origin, true))
         };
 
-        // What no cache may keep runs at the origin: caches and parents on the way could only fail it. One that
-        // could not be reached perhaps can be from elsewhere; one that is set aside would fail parents too.
+        // What no cache may keep runs at the origin: caches and parents on the way could only fail it. One
+        // that could not be reached perhaps can be from elsewhere; set aside, it would fail parents too.
         let runs = !self.categories[access.arrival.category].cacheable;
         let cache = || pick(Tier::Cache, false).or_else(|| pick(Tier::Cache, true));
         match pick(Tier::Origin, true).filter(|_| runs) {
@@ -700,7 +700,7 @@
         // A copy would have been sent by now: it is being filled after all. Nothing fills an own one.
         let own = route.made.is_some();
         let filling = !own && std::mem::replace(&mut execution.filling, true);
-        // How long each end that was not heard of since had not been before: the longer, the likelier it is it.
+        // How long each end that was not heard of since had not been before: the longer, the likelier.
         let unseen = |n: &Id| Some((n.clone(), sent.checked_sub(self.servers.get(n)?.heard)?.as_secs_f64()));
         let silent: Vec<_> = route.ends().filter_map(unseen).filter(|(_, unseen)| *unseen > 0.0).collect();
         // Whoever says nothing to anybody uses no link: a place among the fills would be held for nothing.
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -45,9 +45,8 @@
         let held = if fill.only_held { "held" } else { "any" };
         let join = if fill.join { "join" } else { "alone" };
         let renew = if fill.renew { " renew" } else { "" };
-        let line = format!(
-            "execute {access} {server} from {source} rank {rank} oldest {oldest} {held} limit {limit} {join}{renew}"
-        );
+        let line = format!("execute {access} {server} from {source} rank {rank} oldest {oldest}");
+        let line = format!("{line} {held} limit {limit} {join}{renew}");
         self.lines.push(line);
     }
     fn decline(&mut self, access: &Id, advice: Option<Duration>) {
