--- a/crates/members/src/lean.rs
+++ b/crates/members/src/lean.rs
@@ -23,8 +23,8 @@
 pub const GAIN: f64 = 0.08;
 /// A weight is at most this multiple of the capacity, and at least one through it.
 pub const MOST: f64 = 2.0;
-/// Accesses remembered, of all that are heard, from which anything is concluded: a dozen a cache say nothing.
-const LEAST_SEEN: f64 = 40.0;
+/// Accesses remembered a cache, of all that are heard, from which anything is concluded.
+const LEAST_SEEN: f64 = 10.0;
 
 /// Takes the weights.
 pub trait Leaning {
@@ -91,7 +91,7 @@
         let (work, seen, capacity) = caches.iter().fold((0.0, 0.0, 0.0), |(work, seen, capacity), cache| {
             (work + cache.work, seen + cache.seen, capacity + cache.capacity)
         });
-        let known = seen >= LEAST_SEEN * caches.len() as f64 / 4.0 && work > 0.0 && capacity > 0.0;
+        let known = seen >= LEAST_SEEN * caches.len() as f64 && work > 0.0 && capacity > 0.0;
         for cache in &mut caches {
             cache.by = if known {
                 let over = cache.work / cache.capacity.max(1e-9) / (work / capacity);
