--- a/src/control.rs
+++ b/src/control.rs
@@ -213,8 +213,6 @@
     fills_out: f64,
     fills_most: f64,
     fills_cut: Duration,
-    /// Where not even one may always be out: none before this.
-    fills_rest: Duration,
     fills_lately: (Duration, f64, f64),
     patience: f64,
     waiting: Vec<Id>,
@@ -367,7 +365,7 @@
             if self.join(turn, id) {
                 return;
             }
-            if !self.fill_place(turn.now) {
+            if self.fills_out >= self.fills_most {
                 return self.hold(turn, id);
             }
         }
@@ -455,14 +453,10 @@
         self.after(turn, latest - turn.now, too_late);
     }
 
-    fn fill_place(&self, now: Duration) -> bool {
-        self.fills_out < self.fills_most.max(1.0) && now >= self.fills_rest
-    }
-
-    /// A fill that usually takes so long ended: how many may be out follows.
-    fn fill_ended(&mut self, turn: &mut Turn, in_time: Option<bool>, usual: Duration) {
+    /// A fill ended: how many may be out follows.
+    fn fill_ended(&mut self, turn: &mut Turn, in_time: Option<bool>) {
         if in_time == Some(true) && self.fills_out + 1.0 >= self.fills_most / 2.0 {
-            self.fills_most += (FILL_GROW * self.fills_most.max(1.0)).min(1.0 / self.fills_most);
+            self.fills_most += (FILL_GROW * self.fills_most).min(1.0 / self.fills_most);
         }
         // At high rates some fill is always late, of a large object perhaps: a cut for each would choke all.
         let (last, ended, late) = self.fills_lately;
@@ -475,22 +469,15 @@
             let share = self.caches().map(|m| m.capacity).sum::<f64>() / self.routers_here;
             let out = share.max(self.fills_out + 1.0);
             let most = if self.fills_most.is_finite() { self.fills_most } else { out };
-            self.fills_most = (most * FILL_CUT).max(FILLS_LEAST / self.routers_here);
+            self.fills_most = (most * FILL_CUT).max(FILLS_LEAST);
             self.fills_cut = turn.now;
         }
-        // One at a time from each of many routers is more than a location's link bears: of less than one the
-        // rest is a pause.
-        if self.fills_most < 1.0 && in_time.is_some() {
-            let rest = usual.mul_f64(1.0 / self.fills_most - 1.0);
-            self.fills_rest = turn.now + rest;
-            self.after(turn, rest, Box::new(|router, turn| router.fill_next(turn)));
-        }
         self.fill_next(turn);
     }
 
     /// Places are free: who waits for one goes, most benefit for the work first.
     fn fill_next(&mut self, turn: &mut Turn) {
-        while self.fill_place(turn.now) {
+        while self.fills_out < self.fills_most {
             let (accesses, categories) = (&self.accesses, &self.categories);
             self.waiting.retain(|id| accesses.get(id).is_some_and(|a| !a.ended));
             let gain = |place: &usize| {
@@ -534,7 +521,7 @@
     /// How long past its fresh time a copy will do: where one renewed first would hardly be in time, what its
     /// category allows. It is served and renewed behind.
     fn past(&self, now: Duration, access: &Access) -> Duration {
-        let strained = !self.fill_place(now) || self.origin_fails(now);
+        let strained = self.fills_out >= self.fills_most || self.origin_fails(now);
         let again = !access.executions.is_empty();
         let allowed = self.categories[access.arrival.category].stale_for;
         if strained || again { allowed } else { Duration::ZERO }
@@ -806,8 +793,7 @@
         let Some(access) = self.accesses.get(id) else { return };
         let Execution { filling, placed, .. } = access.executions[n];
         self.fills_out -= f64::from(placed);
-        let usual = OVERHEAD + access.work;
-        let soft = access.soft.max(sent + usual * 2);
+        let soft = access.soft.max(sent + (OVERHEAD + access.work) * 2);
         let (part, before) = (part_of(&access.arrival), self.held(part_of(&access.arrival)));
         self.learn(turn.now, id, route, filling, turn.now > soft, ended);
         if let Some(held) = self.held(part).filter(|held| before.as_ref() != Some(held)) {
@@ -819,7 +805,7 @@
             let dead = matches!(ended.outcome, Cancelled | Missing | Broken | Full)
                 || ended.remark == Remark::SourceUnreached
                 || ends.any(|s| s.record.is_aside() || s.heard < sent && ended.outcome == TimedOut);
-            self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft), usual);
+            self.fill_ended(turn, (!dead).then_some(ended.outcome == Honoured && turn.now <= soft));
         }
         self.pass_on(turn, id, ended.outcome == Honoured);
         let Some(access) = self.accesses.get_mut(id) else { return };
