--- /dev/null
+++ b/crates/latency/src/merge.rs
@@ -0,0 +1,145 @@
+//! Many routers' distributions of one way in one: at each bucket the tellers' shares below it are sorted, the
+//! least and the greatest quarter (one of three at least) left out, the rest averaged. What comes out lies at
+//! every bucket between those of two tellers that are left in, so a liar within the format moves no quantile
+//! past what honest routers have themselves seen; a plain sum of counts would take as many as it claims. Of
+//! fewer than three tellers nobody can say who lies.
+
+use crate::sketch::{BUCKETS, HALF_LIFE, Share, value};
+use std::time::Duration;
+
+/// How much a way may drift in a second without anybody's word: what an estimate gains in doubt by age.
+const DRIFT: f64 = 0.05;
+/// A word that stands for less than this many samples by now says nothing, where another says more.
+const COUNT_LEAST: f64 = 0.3;
+
+/// What is believed of a way.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// None: so many did not come back that there is none.
+    pub p50: Option<Duration>,
+    pub p90: Option<Duration>,
+    /// Share of words that did not come back.
+    pub lost: f64,
+    /// Relative, one standard deviation: of so few samples, and of their age.
+    pub doubt: f64,
+    pub tellers: usize,
+}
+
+impl Estimate {
+    /// Half of its words come back within this at least, by two standard deviations, and at most. A way that
+    /// gives nothing back costs the most there is.
+    pub fn bounds(&self) -> (f64, f64) {
+        let middle = self.p50.map_or(f64::INFINITY, |p50| p50.as_secs_f64());
+        (middle / (1.0 + 2.0 * self.doubt), middle * (1.0 + 2.0 * self.doubt))
+    }
+}
+
+/// The span below which a share of all lies; none: so many did not come back.
+fn quantile(below: &[f64; BUCKETS], share: f64) -> Option<Duration> {
+    let at = below.iter().position(|b| *b >= share)?;
+    let before = if at == 0 { 0.0 } else { below[at - 1] };
+    // Within a bucket as if its samples were spread evenly over it.
+    let part = (share - before) / (below[at] - before).max(1e-12);
+    Some(value(at as f64 + part - 0.5))
+}
+
+/// Merges what tellers say, each with the age of its word. None where nobody says anything.
+pub fn merge(told: &[(Share, Duration)]) -> Option<Estimate> {
+    let weighed = |(share, age): &(Share, Duration)| share.count * (-age.div_duration_f64(HALF_LIFE)).exp2();
+    let enough = told.iter().filter(|word| weighed(word) >= COUNT_LEAST).count();
+    let words: Vec<_> = told.iter().filter(|word| enough == 0 || weighed(word) >= COUNT_LEAST).collect();
+    if words.is_empty() {
+        return None;
+    }
+    let rows: Vec<[f64; BUCKETS]> = words.iter().map(|(share, _)| share.below()).collect();
+    let cut = if rows.len() >= 3 { (rows.len() / 4).max(1) } else { 0 };
+    let middle = |values: &mut Vec<f64>| {
+        values.sort_by(f64::total_cmp);
+        let left = &values[cut..values.len() - cut];
+        left.iter().sum::<f64>() / left.len() as f64
+    };
+    let mut below = [0.0; BUCKETS];
+    for (at, below) in below.iter_mut().enumerate() {
+        *below = middle(&mut rows.iter().map(|row| row[at]).collect());
+    }
+    let lost = 1.0 - below[BUCKETS - 1];
+    let (p50, p90) = (quantile(&below, 0.5), quantile(&below, 0.9));
+    let spread = match (p50, p90) {
+        (Some(p50), Some(p90)) => (p90.as_secs_f64() / p50.as_secs_f64()).ln() / 1.2816,
+        _ => 1.0,
+    };
+    // No teller counts for more than the middle one claims to, by as much as all the others: doubt is not to
+    // be lied away either.
+    let claimed = middle(&mut words.iter().map(|word| weighed(word)).collect());
+    let samples = (claimed * words.len() as f64).max(0.1);
+    let youngest = words.iter().map(|(_, age)| age.as_secs_f64()).fold(f64::INFINITY, f64::min);
+    // The median of a normal sample: variance pi/2 over its size.
+    let doubt = (spread.max(0.02).powi(2) * std::f64::consts::FRAC_PI_2 / samples).sqrt() + DRIFT * youngest;
+    Some(Estimate { p50, p90, lost, doubt, tellers: words.len() })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::sketch::Sketch;
+    use proptest::prelude::*;
+
+    fn told(spans_ms: &[f64], age_ms: u64) -> (Share, Duration) {
+        let mut sketch = Sketch::default();
+        spans_ms.iter().for_each(|ms| sketch.came(Duration::ZERO, Duration::from_secs_f64(ms / 1e3)));
+        (sketch.share(Duration::ZERO).expect("seen"), Duration::from_millis(age_ms))
+    }
+
+    fn ms(found: Option<Duration>) -> f64 {
+        found.map_or(f64::INFINITY, |d| d.as_secs_f64() * 1e3)
+    }
+
+    #[test]
+    fn one_liar_of_several_moves_nothing_past_what_the_honest_saw() {
+        let honest: Vec<_> = (0..4).map(|n| told(&[9.0, 10.0, 11.0, 10.0 + f64::from(n) * 0.2], 0)).collect();
+        let truly = merge(&honest).expect("told");
+        for lie in [told(&[0.1; 200], 0), told(&[9000.0; 200], 0), told(&[1.0, 3000.0], 0)] {
+            for place in 0..=honest.len() {
+                let mut all = honest.clone();
+                all.insert(place, lie);
+                let bent = merge(&all).expect("told");
+                assert!((ms(bent.p50) / ms(truly.p50) - 1.0).abs() < 0.06, "{bent:?} of {truly:?}");
+                assert!((9.0..12.5).contains(&ms(bent.p90)), "{bent:?} of {truly:?}");
+            }
+        }
+        // With nobody to vote it out it is believed: two tellers, one of them a liar.
+        assert!(ms(merge(&[honest[0], told(&[9000.0; 9], 0)]).expect("told").p90) > 1000.0);
+    }
+
+    #[test]
+    fn what_does_not_come_back_is_slower_than_all_that_does() {
+        let mut sketch = Sketch::default();
+        (0..4).for_each(|_| sketch.came(Duration::ZERO, Duration::from_millis(2)));
+        (0..6).for_each(|_| sketch.lost(Duration::ZERO));
+        let silent = merge(&[(sketch.share(Duration::ZERO).expect("seen"), Duration::ZERO)]).expect("told");
+        let slow = merge(&[told(&[400.0; 8], 0)]).expect("told");
+        assert_eq!(silent.p50, None);
+        assert!(silent.bounds().0 > slow.bounds().1);
+    }
+
+    #[test]
+    fn doubt_widens_with_age_and_shrinks_with_samples() {
+        let of = |n: usize, age| merge(&[told(&vec![10.0; n], age)]).expect("told").doubt;
+        assert!(of(2, 0) > of(20, 0) && of(20, 3000) > of(20, 0) + 0.14);
+        assert_eq!(merge(&[]), None);
+    }
+
+    proptest! {
+        #[test]
+        fn order_of_tellers_says_nothing_and_quantiles_rise(
+            all in prop::collection::vec((prop::collection::vec(0.1f64..900.0, 1..20), 0u64..3000), 1..8),
+            turn in any::<u64>(),
+        ) {
+            let mut words: Vec<_> = all.iter().map(|(spans, age)| told(spans, *age)).collect();
+            let first = merge(&words).expect("told");
+            fastrand::Rng::with_seed(turn).shuffle(&mut words);
+            prop_assert_eq!(merge(&words).expect("told"), first);
+            prop_assert!(first.p50 <= first.p90 || first.p90.is_none());
+        }
+    }
+}
--- /dev/null
+++ b/crates/latency/src/model.rs
@@ -0,0 +1,526 @@
+//! Who measures which way and when, what of it is told, and what is believed. No I/O.
+//!
+//! Two legs: from the routers of a location to an edge (a location's caches, or a hub's parents), measured by
+//! the routers; and from a region's clients to an edge, as fronts have measured it and tell over a control
+//! socket. Each router sketches what it has seen itself and tells its location (kinds [`WAYS`], [`LEGS`]);
+//! what a location believes is told to all in four bytes an edge (kind [`MATRIX`]), three tellers a location,
+//! so that everybody knows the whole matrix and no single one can bend it.
+//!
+//! **Explored within a budget.** A way is measured by the [`MEASURERS`] routers of the location that draw the
+//! least number for it by hash, of those that gave a sign of life lately, each at [`EVERY`]: what it costs does
+//! not grow with the location, and nobody has to be told who measures. Who hears nobody measures all. Drawn
+//! anew by time (tried first) a way was now and then measured by none for seconds, and those who had just
+//! ceased told what had been.
+
+use crate::merge::{Estimate, merge};
+use crate::sketch::{HALF_LIFE, Share, Sketch, bucket, value};
+use chalkhall_members::rumours::{Lane, Rumours, Topic};
+use std::collections::BTreeMap;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Kinds of words.
+pub const WAYS: u8 = 1;
+pub const LEGS: u8 = 2;
+pub const MATRIX: u8 = 3;
+/// Past this age a way is unknown: five half lives.
+pub const LASTS: Duration = Duration::from_secs(5);
+/// Five tellers of a way are enough to leave out the least and the greatest; three of a matrix to outvote
+/// one.
+pub const LANES: [Lane; 3] = [
+    Lane { kind: WAYS, near: true, keep: 5, lasts: LASTS },
+    Lane { kind: LEGS, near: true, keep: 5, lasts: LASTS },
+    Lane { kind: MATRIX, near: false, keep: 3, lasts: LASTS },
+];
+/// Edges there may be: numbers of locations, then of hubs.
+pub const EDGES_MOST: usize = 64;
+/// Of a location, at one way: so many measure, so often; who gave no sign of life for so long is not one.
+pub const MEASURERS: usize = 5;
+pub const EVERY: Duration = Duration::from_millis(500);
+pub const MATRIX_EVERY: Duration = Duration::from_secs(1);
+pub const ALIVE: Duration = Duration::from_secs(5);
+/// What is waited for an answer: longer is lost.
+pub const PATIENCE: Duration = Duration::from_millis(1500);
+/// Edges in one word of the matrix, and what one takes.
+const CHUNK: usize = 32;
+const CELL: usize = 4;
+
+/// A way of the matrix, as a location believes it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cell {
+    pub p50: Option<Duration>,
+    pub p90: Option<Duration>,
+    pub lost: f64,
+    pub doubt: f64,
+}
+
+/// A bucket in a byte: 255 where there is none.
+fn byte(span: Option<Duration>) -> u8 {
+    span.map_or(255, |span| bucket(span) as u8)
+}
+
+fn span(byte: u8) -> Option<Duration> {
+    (byte < 255).then(|| value(f64::from(byte)))
+}
+
+fn encode(cells: &[Option<Cell>]) -> Vec<u8> {
+    let cell = |cell: &Option<Cell>| match cell {
+        // No doubt is that of who knows nothing.
+        None => [255, 255, 255, 255],
+        Some(cell) => {
+            let doubt = (cell.doubt * 100.0).round().min(254.0) as u8;
+            [byte(cell.p50), byte(cell.p90), (cell.lost * 255.0) as u8, doubt]
+        }
+    };
+    cells.iter().flat_map(cell).collect()
+}
+
+/// None where it makes no sense.
+fn decode(bytes: &[u8]) -> Option<Vec<Option<Cell>>> {
+    if bytes.len() > CHUNK * CELL || !bytes.len().is_multiple_of(CELL) {
+        return None;
+    }
+    let cell = |b: &[u8]| {
+        let known = b[3] < 255;
+        let cell = Cell {
+            p50: span(b[0]),
+            p90: span(b[1]),
+            lost: f64::from(b[2]) / 255.0,
+            doubt: f64::from(b[3]) / 100.0,
+        };
+        known.then_some(cell)
+    };
+    Some(bytes.chunks_exact(CELL).map(cell).collect())
+}
+
+/// What one router has seen, of both legs.
+pub struct Model {
+    number: u16,
+    place: u8,
+    edges: usize,
+    ways: BTreeMap<usize, Sketch>,
+    legs: BTreeMap<usize, Sketch>,
+    /// By edge: when it was measured last.
+    measured: BTreeMap<usize, Duration>,
+    /// When words were last asked for, and when the matrix was last told.
+    asked: Duration,
+    matrix_told: Option<Duration>,
+    refused: u64,
+}
+
+impl Model {
+    /// `edges`: at most [`EDGES_MOST`]; those past it are not known.
+    pub fn new(number: u16, place: u8, edges: usize) -> Model {
+        Model {
+            number,
+            place,
+            edges: edges.min(EDGES_MOST),
+            ways: BTreeMap::new(),
+            legs: BTreeMap::new(),
+            measured: BTreeMap::new(),
+            asked: Duration::ZERO,
+            matrix_told: None,
+            refused: 0,
+        }
+    }
+
+    pub fn edges(&self) -> usize {
+        self.edges
+    }
+
+    /// How long a measurement waits between two of this router's own.
+    pub fn due(&self, edge: usize) -> Duration {
+        self.measured.get(&edge).map_or(Duration::ZERO, |at| *at + EVERY)
+    }
+
+    /// The edges that this router is to measure now; each counts as measured from now on.
+    pub fn to_measure(&mut self, now: Duration, rumours: &Rumours) -> Vec<usize> {
+        let due: Vec<usize> = (0..self.edges).filter(|edge| now >= self.due(*edge)).collect();
+        if due.is_empty() {
+            return due;
+        }
+        let mates: Vec<u16> = rumours.mates(now, ALIVE).collect();
+        let draws =
+            |number: u16, edge: usize| xxh3_64(&[number.to_be_bytes(), (edge as u16).to_be_bytes()].concat());
+        let mine = |edge: &usize| {
+            let own = draws(self.number, *edge);
+            mates.iter().filter(|mate| draws(**mate, *edge) < own).count() < MEASURERS
+        };
+        let found: Vec<usize> = due.into_iter().filter(mine).collect();
+        for edge in &found {
+            self.measured.insert(*edge, now);
+        }
+        found
+    }
+
+    /// A word to an edge came back after so long; none: not within [`PATIENCE`].
+    pub fn saw(&mut self, now: Duration, edge: usize, way: Option<Duration>) {
+        if edge >= self.edges {
+            self.refused += 1;
+            return;
+        }
+        let sketch = self.ways.entry(edge).or_default();
+        match way.filter(|way| *way < PATIENCE) {
+            Some(way) => sketch.came(now, way),
+            None => sketch.lost(now),
+        }
+    }
+
+    /// A front has measured the way of this region's clients to an edge, so many times the same.
+    pub fn observed(&mut self, now: Duration, edge: usize, way: Duration, count: u32) {
+        if edge >= self.edges {
+            self.refused += 1;
+            return;
+        }
+        let sketch = self.legs.entry(edge).or_default();
+        (0..count.min(64)).for_each(|_| sketch.came(now, way));
+    }
+
+    /// What is to be told of it: kind, part and body. Only where something was seen since, so that a word has
+    /// spread before the next one takes its place; the matrix at [`MATRIX_EVERY`].
+    pub fn words(&mut self, now: Duration, rumours: &Rumours) -> Vec<(u8, u8, Vec<u8>)> {
+        let asked = std::mem::replace(&mut self.asked, now);
+        let fresh = |sketch: &Sketch| sketch.latest() >= asked && sketch.count(now) > 0.0;
+        let told = |kind: u8, sketches: &BTreeMap<usize, Sketch>| {
+            let all = sketches.iter().filter(|(_, sketch)| fresh(sketch));
+            let all = all
+                .filter_map(|(edge, sketch)| Some((kind, *edge as u8, sketch.share(now)?.encode().to_vec())));
+            all.collect::<Vec<_>>()
+        };
+        let mut words = told(WAYS, &self.ways);
+        words.extend(told(LEGS, &self.legs));
+        let due = self.matrix_told.is_none_or(|told| now >= told + MATRIX_EVERY);
+        if !due {
+            return words;
+        }
+        self.matrix_told = Some(now);
+        // Only what was measured is told: a belief taken from mates would go round and outlive the truth.
+        let least = (rumours.mates(now, ALIVE).count() + 1).min(3);
+        let measured =
+            |edge: usize| self.estimate(now, rumours, WAYS, &self.ways, edge).filter(|e| e.tellers >= least);
+        for (part, first) in (0..self.edges).step_by(CHUNK).enumerate() {
+            let edges = first..(first + CHUNK).min(self.edges);
+            let cell = |Estimate { p50, p90, lost, doubt, .. }| Cell { p50, p90, lost, doubt };
+            let cells: Vec<Option<Cell>> = edges.map(|edge| measured(edge).map(cell)).collect();
+            if cells.iter().any(Option::is_some) {
+                words.push((MATRIX, part as u8, encode(&cells)));
+            }
+        }
+        words
+    }
+
+    fn estimate(
+        &self,
+        now: Duration,
+        rumours: &Rumours,
+        kind: u8,
+        own: &BTreeMap<usize, Sketch>,
+        edge: usize,
+    ) -> Option<Estimate> {
+        let mine = own.get(&edge).filter(|sketch| now < sketch.latest() + LASTS);
+        // Decay since the last sample is in the count already.
+        let mine = mine.and_then(|sketch| Some((sketch.share(now)?, Duration::ZERO)));
+        let told = rumours.words(now, kind).filter(|(topic, word)| {
+            usize::from(topic.part) == edge && word.place == self.place && topic.teller != self.number
+        });
+        let told =
+            told.filter_map(|(_, word)| Some((Share::decode(&word.body)?, now.saturating_sub(word.told))));
+        let all: Vec<_> = mine.into_iter().chain(told).collect();
+        merge(&all)
+    }
+
+    /// What the tellers of a location say of its way to an edge, and how young the youngest word is: the
+    /// middle of them at each figure. And how many they are.
+    fn heard(&self, now: Duration, rumours: &Rumours, from: u8, edge: usize) -> Option<(Cell, usize)> {
+        let of = |(topic, word): (Topic, &chalkhall_members::rumours::Word)| {
+            let fits =
+                word.place == from && usize::from(topic.part) == edge / CHUNK && topic.teller != self.number;
+            let age = now.saturating_sub(word.told);
+            fits.then(|| decode(&word.body)?.get(edge % CHUNK).copied().flatten().map(|cell| (cell, age)))
+                .flatten()
+        };
+        let cells: Vec<(Cell, Duration)> = rumours.words(now, MATRIX).filter_map(of).collect();
+        let middle = |of: &dyn Fn(&Cell) -> f64| {
+            let mut all: Vec<f64> = cells.iter().map(|(cell, _)| of(cell)).collect();
+            all.sort_by(f64::total_cmp);
+            all.get((all.len().max(1) - 1) / 2).copied()
+        };
+        let seconds = |span: Option<Duration>| span.map_or(f64::INFINITY, |s| s.as_secs_f64());
+        let back = |s: f64| s.is_finite().then(|| Duration::from_secs_f64(s));
+        let age = cells.iter().map(|(_, age)| *age).min()?;
+        let cell = Cell {
+            p50: back(middle(&|cell| seconds(cell.p50))?),
+            p90: back(middle(&|cell| seconds(cell.p90))?),
+            lost: middle(&|cell| cell.lost)?,
+            // A word half a life old has lost half of its samples.
+            doubt: middle(&|cell| cell.doubt)? * age.div_duration_f64(HALF_LIFE).exp2().sqrt(),
+        };
+        Some((cell, cells.len()))
+    }
+
+    /// What is believed of the way from here to an edge. Of fewer than three tellers one that lies could not be
+    /// told from the others: then what mates believe of it stands in.
+    pub fn way(&self, now: Duration, rumours: &Rumours, edge: usize) -> Option<Estimate> {
+        let own = self.estimate(now, rumours, WAYS, &self.ways, edge);
+        if own.is_some_and(|own| own.tellers >= 3) {
+            return own;
+        }
+        match self.heard(now, rumours, self.place, edge) {
+            Some((Cell { p50, p90, lost, doubt }, tellers)) if tellers >= 3 => {
+                Some(Estimate { p50, p90, lost, doubt, tellers })
+            }
+            _ => own,
+        }
+    }
+
+    /// The same of this region's clients.
+    pub fn leg(&self, now: Duration, rumours: &Rumours, edge: usize) -> Option<Estimate> {
+        self.estimate(now, rumours, LEGS, &self.legs, edge)
+    }
+
+    /// What location `from` believes of its way to an edge.
+    pub fn matrix(&self, now: Duration, rumours: &Rumours, from: u8, edge: usize) -> Option<Cell> {
+        if from != self.place {
+            return self.heard(now, rumours, from, edge).map(|(cell, _)| cell);
+        }
+        let Estimate { p50, p90, lost, doubt, .. } = self.way(now, rumours, edge)?;
+        Some(Cell { p50, p90, lost, doubt })
+    }
+
+    /// What was refused since the start: of edges that there are not.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use chalkhall_members::rumours::{Stand, encode as datagram};
+    use chalkhall_members::{Mouth, To};
+    use proptest::prelude::*;
+
+    #[derive(Default)]
+    struct Said(Vec<(u64, Vec<u8>)>);
+
+    impl Mouth for Said {
+        fn say(&mut self, to: To, bytes: &[u8]) {
+            let To::One(to) = to else { panic!("nobody is told all") };
+            self.0.push((to, bytes.to_vec()));
+        }
+    }
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    /// Routers of some locations with ways between them of known truth, in simulated time.
+    struct World {
+        places: usize,
+        routers: Vec<(Model, Rumours)>,
+        /// Median of each way in ms, and the deviation of its logarithm.
+        truth: Vec<Vec<f64>>,
+        sigma: f64,
+        chance: fastrand::Rng,
+        liar: Option<usize>,
+        loses: f64,
+    }
+
+    fn router(number: usize, places: usize, routers: usize, incarnation: u32) -> (Model, Rumours) {
+        let place = (number % places) as u8;
+        let stand = Stand { number: number as u16, routers, place, incarnation, seed: number as u64 };
+        let rumours = Rumours::start(Duration::ZERO, stand, &LANES).expect("not alone");
+        (Model::new(number as u16, place, places), rumours)
+    }
+
+    impl World {
+        fn new(places: usize, routers: usize, seed: u64) -> World {
+            let mut chance = fastrand::Rng::with_seed(seed);
+            let mut truth = vec![vec![2.0; places]; places];
+            for (from, row) in truth.iter_mut().enumerate() {
+                let others = row.iter_mut().enumerate().filter(|(to, _)| *to != from);
+                others.for_each(|(_, way)| *way = 5.0 + 60.0 * chance.f64());
+            }
+            let routers = (0..routers).map(|n| router(n, places, routers, 1)).collect();
+            World { places, routers, truth, sigma: 0.15, chance, liar: None, loses: 0.1 }
+        }
+
+        fn sample(&mut self, from: usize, to: usize) -> Duration {
+            let normal: f64 = (0..12).map(|_| self.chance.f64()).sum::<f64>() - 6.0;
+            Duration::from_secs_f64(self.truth[from][to] * (self.sigma * normal).exp() / 1e3)
+        }
+
+        fn until(&mut self, from: u64, to: u64) {
+            for now in (from..to).step_by(10) {
+                for n in 0..self.routers.len() {
+                    let (model, rumours) = &mut self.routers[n];
+                    let turn = (now / 10 + n as u64).is_multiple_of(10);
+                    let edges = if turn { model.to_measure(ms(now), rumours) } else { Vec::new() };
+                    for edge in edges {
+                        let way = self.sample(n % self.places, edge);
+                        self.routers[n].0.saw(ms(now), edge, Some(way));
+                    }
+                    if (now + n as u64 * 10).is_multiple_of(250) {
+                        let (model, rumours) = &mut self.routers[n];
+                        let mut words = model.words(ms(now), rumours);
+                        if self.liar == Some(n) {
+                            let lie =
+                                Share { count: 60.0, lost: 0.0, base: 100, wide: false, heights: [15; 16] };
+                            words =
+                                (0..self.places).map(|e| (WAYS, e as u8, lie.encode().to_vec())).collect();
+                            let cell = Cell { p50: Some(ms(1)), p90: Some(ms(1)), lost: 0.0, doubt: 0.0 };
+                            words.push((MATRIX, 0, super::encode(&vec![Some(cell); self.places])));
+                        }
+                        words
+                            .into_iter()
+                            .for_each(|(kind, part, body)| rumours.say(ms(now), kind, part, body, false));
+                    }
+                    let mut said = Said::default();
+                    self.routers[n].1.tick(ms(now), &mut said);
+                    for (to, bytes) in said.0 {
+                        if self.chance.f64() >= self.loses {
+                            self.routers[to as usize].1.heard(ms(now), n as u64, &bytes);
+                        }
+                    }
+                }
+            }
+        }
+
+        /// Errors of p50 and p90 of every way against the truth, over all its honest routers: means. And how
+        /// far routers of one location lie apart in p50, as the mean deviation from their mean.
+        fn errors(&self, now: u64) -> (f64, f64, f64) {
+            let (mut e50, mut e90, mut spread, mut count, mut ways) = (0.0, 0.0, 0.0, 0.0, 0.0);
+            for place in 0..self.places {
+                for edge in 0..self.places {
+                    let truth = self.truth[place][edge];
+                    let ninth = truth * (1.2816 * self.sigma).exp();
+                    let mut believed = Vec::new();
+                    for (n, (model, rumours)) in self.routers.iter().enumerate() {
+                        if n % self.places != place || self.liar == Some(n) {
+                            continue;
+                        }
+                        let Some(way) = model.way(ms(now), rumours, edge) else {
+                            panic!("{n} knows nothing of {edge}")
+                        };
+                        let ms = |d: Option<Duration>| d.map_or(f64::INFINITY, |d| d.as_secs_f64() * 1e3);
+                        e50 += (ms(way.p50) / truth - 1.0).abs();
+                        e90 += (ms(way.p90) / ninth - 1.0).abs();
+                        count += 1.0;
+                        believed.push(ms(way.p50));
+                    }
+                    let mean = believed.iter().sum::<f64>() / believed.len() as f64;
+                    spread +=
+                        believed.iter().map(|b| (b / mean - 1.0).abs()).sum::<f64>() / believed.len() as f64;
+                    ways += 1.0;
+                }
+            }
+            (e50 / count, e90 / count, spread / ways)
+        }
+    }
+
+    #[test]
+    fn five_seconds_after_a_step_all_know_the_new_way_and_agree() {
+        for seed in [1, 2] {
+            let mut world = World::new(6, 120, seed);
+            world.until(0, 8000);
+            let before = world.errors(8000);
+            world.truth.iter_mut().flatten().for_each(|way| *way *= 5.0);
+            world.until(8000, 13_000);
+            let up = world.errors(13_000);
+            world.truth.iter_mut().flatten().for_each(|way| *way /= 5.0);
+            world.until(13_000, 18_000);
+            let down = world.errors(18_000);
+            for (e50, e90, spread) in [before, up, down] {
+                assert!(
+                    e50 <= 0.10 && e90 <= 0.20 && spread <= 0.05,
+                    "seed {seed}: {before:?} {up:?} {down:?}"
+                );
+            }
+        }
+    }
+
+    #[test]
+    fn a_teller_that_lies_within_the_format_bends_nothing_and_a_restart_counts_nothing_twice() {
+        let mut world = World::new(6, 120, 3);
+        world.liar = Some(7);
+        world.until(0, 6000);
+        for n in (0..120).step_by(2).filter(|n| *n != 7) {
+            world.routers[n] = router(n, 6, 120, 2);
+        }
+        world.until(6000, 11_000);
+        let (e50, e90, spread) = world.errors(11_000);
+        assert!(e50 <= 0.10 && e90 <= 0.20 && spread <= 0.05, "{e50} {e90} {spread}");
+        // The matrix, as another location hears of it.
+        let (model, rumours) = &world.routers[0];
+        for edge in 0..6 {
+            let cell = model.matrix(ms(11_000), rumours, 1, edge).expect("told");
+            let error = (cell.p50.expect("back").as_secs_f64() * 1e3 / world.truth[1][edge] - 1.0).abs();
+            assert!(error <= 0.25, "{edge}: {error}, of the liar's location");
+        }
+    }
+
+    #[test]
+    fn what_is_measured_costs_the_same_for_two_routers_a_location_and_two_hundred() {
+        let count = |here: usize| {
+            let mut all: Vec<_> = (0..here).map(|n| router(n * 6, 6, here * 6, 1)).collect();
+            for (_, rumours) in &mut all {
+                (0..here).for_each(|m| rumours.mate(m as u16 * 6, ms(38_000)));
+            }
+            let mut found = 0;
+            for now in (0..40_000).step_by(100) {
+                found += all.iter_mut().map(|(m, r)| m.to_measure(ms(now), r).len()).sum::<usize>();
+            }
+            found as f64 / 40.0 / 6.0
+        };
+        let (few, many, alone) = (count(10), count(200), count(1));
+        assert_eq!((few, many, alone), (10.0, 10.0, 2.0), "a second and way");
+        // The dead are not waited for: who gave no sign of life leaves its ways to others.
+        let (mut model, mut rumours) = router(0, 6, 120, 1);
+        (1..20).for_each(|n| rumours.mate(n * 6, ms(0)));
+        assert!(model.to_measure(ms(1000), &rumours).len() < 6);
+        assert_eq!(model.to_measure(ms(6000), &rumours).len(), 6);
+    }
+
+    #[test]
+    fn an_edge_that_falls_silent_is_unknown_or_lost_but_never_fast() {
+        let (mut model, rumours) = router(0, 6, 120, 1);
+        (0..10).for_each(|n| model.saw(ms(n * 500), 2, Some(ms(5))));
+        assert!(model.way(ms(5000), &rumours, 2).expect("seen").p50.is_some());
+        (10..16).for_each(|n| model.saw(ms(n * 500), 2, None));
+        assert_eq!(model.way(ms(8000), &rumours, 2).expect("seen").p50, None);
+        assert_eq!(model.way(ms(8000) + LASTS, &rumours, 2), None, "past its age");
+        model.saw(ms(0), 99, Some(ms(1)));
+        model.observed(ms(0), 99, ms(1), 9);
+        assert_eq!(model.refused(), 2);
+    }
+
+    #[test]
+    fn fronts_tell_of_clients_and_only_their_own_region_hears() {
+        let (mut model, mut rumours) = router(0, 6, 120, 1);
+        model.observed(ms(0), 3, ms(40), 1000);
+        let leg = model.leg(ms(0), &rumours, 3).expect("told");
+        assert!((leg.p50.expect("back").as_secs_f64() / 0.040 - 1.0).abs() < 0.06);
+        let mut said = Said::default();
+        for (kind, part, body) in model.words(ms(0), &rumours) {
+            rumours.say(ms(0), kind, part, body, false);
+        }
+        rumours.mate(6, ms(0));
+        (1..200).for_each(|n| rumours.tick(ms(n * 250), &mut said));
+        let (mut here, mut there) = (router(6, 6, 120, 1).1, router(7, 6, 120, 1).1);
+        for (_, bytes) in &said.0 {
+            here.heard(ms(0), 0, bytes);
+            there.heard(ms(0), 0, bytes);
+        }
+        assert_eq!((here.words(ms(0), LEGS).count(), there.words(ms(0), LEGS).count()), (1, 0));
+        assert_eq!(datagram(0, &[]).len(), 4);
+    }
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_a_matrix_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..140)) {
+            if let Some(cells) = decode(&bytes) {
+                prop_assert_eq!(cells.len() * CELL, bytes.len());
+            }
+        }
+    }
+}
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod codec;
 pub mod lean;
+pub mod rumours;
 pub mod talk;
 
 pub use lean::Leaning;
--- /dev/null
+++ b/crates/members/src/rumours.rs
@@ -0,0 +1,671 @@
+//! Words that all routers are to hear, or all of a location, in bytes that do not grow with the fleet: an
+//! epidemic (Demers and others, "Epidemic algorithms for replicated database maintenance", 1987). No I/O.
+//!
+//! A word has a topic (its kind, a part of it, its teller) and a version; of two of one topic the newer stays.
+//! So it does not matter how often, how late or in what order words come, and nothing is counted twice. A
+//! teller that starts anew has a higher incarnation. A word carries its age, which each router adds to while
+//! it holds it, so no clocks are compared; past the span of its lane it is as if it had never been told. A
+//! datagram's own time on the way is not in the age.
+//!
+//! Each period a router sends two datagrams to mates of its location and one to any router of the fleet, with
+//! what it has told least; a word is told on so many times as spreads it to all (log2 of the fleet, and a few
+//! for loss) and no more. A word in a hurry is told on at once, within a bound a second. Of a part told from
+//! one place only the freshest few tellers are kept: enough to outvote one that lies, and no table grows with
+//! the fleet.
+//!
+//! Dangers answered: datagrams lost, doubled, late, turned round (versions, repeated telling); a teller killed
+//! and started anew (incarnations); one that falls silent (ages); one that floods (bounds by lane and place).
+//! Not answered: one router that speaks in another's name, since datagrams bear no signature yet; the peers'
+//! addresses must be the operator's.
+
+use crate::codec::MOST_BYTES;
+use crate::talk::{Mouth, To};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// Between two rounds of telling.
+pub const PERIOD: Duration = Duration::from_millis(250);
+/// Mates of the location that are told something in each; beside them one of all routers.
+const MATES_TOLD: usize = 2;
+/// Words in a hurry go so soon after one another, to so many, and so many times a second at most.
+const HURRY: Duration = Duration::from_millis(20);
+const HURRY_TO: usize = 3;
+const HURRY_ROUNDS: u32 = 2;
+const HURRIES_MOST: u32 = 16;
+/// Told on so many times more than log2 of the fleet: what loss of a third takes back.
+const MORE: u32 = 3;
+/// Words held in all, whatever the lanes allow; and mates that are chosen among.
+const WORDS_MOST: usize = 8192;
+const MATES_MOST: usize = 1024;
+/// Of a word's body.
+pub const BODY_MOST: usize = 128;
+
+const FORMAT: u8 = 0xC3;
+const HEAD: usize = 4;
+/// Kind, part, place, teller, incarnation, number, age, length.
+const WORD_HEAD: usize = 16;
+const URGENT: u8 = 0x80;
+const AGE_UNIT_MS: u64 = 10;
+
+/// What words of one kind are like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lane {
+    /// From 1 to 127.
+    pub kind: u8,
+    /// Only for the routers of the teller's place.
+    pub near: bool,
+    /// So many tellers are kept of each part and place.
+    pub keep: usize,
+    /// It is believed for so long.
+    pub lasts: Duration,
+}
+
+/// Whose word, and on what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Topic {
+    pub kind: u8,
+    pub part: u8,
+    pub teller: u16,
+}
+
+/// Of two words on a topic the greater is the newer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Version {
+    pub incarnation: u32,
+    pub number: u32,
+}
+
+/// A word as it is held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Word {
+    /// The location of its teller.
+    pub place: u8,
+    pub version: Version,
+    pub body: Vec<u8>,
+    /// When it was told, on this router's clock, as far as ages tell.
+    pub told: Duration,
+    urgent: bool,
+    passed_on: u32,
+}
+
+/// A word on its way.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Carried {
+    pub topic: Topic,
+    pub place: u8,
+    pub version: Version,
+    pub age: Duration,
+    pub urgent: bool,
+    pub body: Vec<u8>,
+}
+
+/// What is wrong with a datagram of words; of such a one nothing counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Length,
+    Value,
+}
+
+/// The datagram of these words; those past what fits are left out.
+pub fn encode(place: u8, words: &[Carried]) -> Vec<u8> {
+    let mut bytes = vec![FORMAT, 0, place, 0];
+    for word in words {
+        if bytes.len() + WORD_HEAD + word.body.len() > MOST_BYTES || word.body.len() > BODY_MOST {
+            continue;
+        }
+        let urgent = if word.urgent { URGENT } else { 0 };
+        bytes.extend([word.topic.kind | urgent, word.topic.part, word.place]);
+        bytes.extend(word.topic.teller.to_be_bytes());
+        bytes.extend(word.version.incarnation.to_be_bytes());
+        bytes.extend(word.version.number.to_be_bytes());
+        let age = (word.age.as_millis() as u64 / AGE_UNIT_MS).min(u64::from(u16::MAX)) as u16;
+        bytes.extend(age.to_be_bytes());
+        bytes.push(word.body.len() as u8);
+        bytes.extend(&word.body);
+        bytes[3] += 1;
+    }
+    bytes
+}
+
+/// The sender's place and its words; none where it is no datagram of words.
+///
+/// # Errors
+/// Says what is wrong.
+pub fn decode(bytes: &[u8]) -> Option<Result<(u8, Vec<Carried>), Fault>> {
+    let [FORMAT, flags, place, count, rest @ ..] = bytes else { return None };
+    Some(read(*flags, *count, rest).map(|words| (*place, words)))
+}
+
+fn read(flags: u8, count: u8, mut rest: &[u8]) -> Result<Vec<Carried>, Fault> {
+    if flags != 0 || rest.len() + HEAD > MOST_BYTES {
+        return Err(if flags == 0 { Fault::Length } else { Fault::Value });
+    }
+    let mut words = Vec::new();
+    for _ in 0..count {
+        let (head, after) = rest.split_at_checked(WORD_HEAD).ok_or(Fault::Length)?;
+        let length = usize::from(head[15]);
+        let (body, after) = after.split_at_checked(length).ok_or(Fault::Length)?;
+        let four = |at: usize| u32::from_be_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+        let two = |at: usize| u16::from_be_bytes([head[at], head[at + 1]]);
+        let kind = head[0] & !URGENT;
+        if kind == 0 || length > BODY_MOST {
+            return Err(Fault::Value);
+        }
+        words.push(Carried {
+            topic: Topic { kind, part: head[1], teller: two(3) },
+            place: head[2],
+            version: Version { incarnation: four(5), number: four(9) },
+            age: Duration::from_millis(u64::from(two(13)) * AGE_UNIT_MS),
+            urgent: head[0] & URGENT != 0,
+            body: body.to_vec(),
+        });
+        rest = after;
+    }
+    if rest.is_empty() { Ok(words) } else { Err(Fault::Length) }
+}
+
+/// Where a router stands among all.
+#[derive(Clone, Copy, Debug)]
+pub struct Stand {
+    pub number: u16,
+    pub routers: usize,
+    pub place: u8,
+    /// Greater at each start of this router: the Unix time at the start in tenths of a second will do. Where
+    /// the clock went back between, its words are taken for old until those of its earlier life have aged
+    /// away.
+    pub incarnation: u32,
+    pub seed: u64,
+}
+
+/// How often what came was dropped, and why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Dropped {
+    pub faulty: u64,
+    /// From or of nobody that there is, or of no lane.
+    pub strange: u64,
+    /// Too old, or no newer than what is held.
+    pub old: u64,
+}
+
+pub struct Rumours {
+    stand: Stand,
+    lanes: Vec<Lane>,
+    words: BTreeMap<Topic, Word>,
+    /// Routers of this place, by their own words, and when they last gave a sign of life.
+    mates: BTreeMap<u16, Duration>,
+    last: u32,
+    next: Duration,
+    /// Since when hurries are counted, how many there were; when the next round is due, of how many.
+    hurries: (Duration, u32),
+    hurry: Option<(Duration, u32)>,
+    chance: fastrand::Rng,
+    /// Topics that have a newer word since they were last asked for.
+    news: BTreeSet<Topic>,
+    dropped: Dropped,
+}
+
+impl Rumours {
+    /// None where there is nobody to talk to, or a number that does not fit.
+    pub fn start(now: Duration, stand: Stand, lanes: &[Lane]) -> Option<Rumours> {
+        let fits = stand.routers > 1 && stand.routers <= usize::from(u16::MAX);
+        let mut chance = fastrand::Rng::with_seed(stand.seed ^ 0x7e11);
+        let next = now + PERIOD.mul_f64(chance.f64());
+        (fits && usize::from(stand.number) < stand.routers).then(|| Rumours {
+            stand,
+            lanes: lanes.to_vec(),
+            words: BTreeMap::new(),
+            mates: BTreeMap::new(),
+            last: 0,
+            next,
+            hurries: (now, 0),
+            hurry: None,
+            chance,
+            news: BTreeSet::new(),
+            dropped: Dropped::default(),
+        })
+    }
+
+    fn lane(&self, kind: u8) -> Option<Lane> {
+        self.lanes.iter().find(|lane| lane.kind == kind).copied()
+    }
+
+    /// An own word, in place of the last one on this. Too long a body is not told at all.
+    pub fn say(&mut self, now: Duration, kind: u8, part: u8, body: Vec<u8>, urgent: bool) {
+        if body.len() > BODY_MOST || self.lane(kind).is_none() {
+            return;
+        }
+        self.last += 1;
+        let version = Version { incarnation: self.stand.incarnation, number: self.last };
+        let topic = Topic { kind, part, teller: self.stand.number };
+        let place = self.stand.place;
+        self.words.insert(topic, Word { place, version, body, told: now, urgent, passed_on: 0 });
+        if urgent {
+            self.hurry_up(now);
+        }
+    }
+
+    fn hurry_up(&mut self, now: Duration) {
+        if now >= self.hurries.0 + Duration::from_secs(1) {
+            self.hurries = (now, 0);
+        }
+        // Past the bound it goes with the next period: a fault that comes and goes must not make a storm.
+        if self.hurries.1 < HURRIES_MOST && self.hurry.is_none() {
+            self.hurries.1 += 1;
+            self.hurry = Some((now + HURRY.mul_f64(self.chance.f64()), HURRY_ROUNDS));
+        }
+    }
+
+    /// When [`Rumours::tick`] has something to do.
+    pub fn next(&self) -> Duration {
+        self.hurry.map_or(self.next, |(at, _)| at.min(self.next))
+    }
+
+    /// A router that is known to be of this place by other ways, and was alive then.
+    pub fn mate(&mut self, number: u16, alive: Duration) {
+        if number != self.stand.number && (self.mates.len() < MATES_MOST || self.mates.contains_key(&number))
+        {
+            let known = self.mates.entry(number).or_default();
+            *known = alive.max(*known);
+        }
+    }
+
+    /// The mates that gave a sign of life within this span, in order.
+    pub fn mates(&self, now: Duration, within: Duration) -> impl Iterator<Item = u16> {
+        self.mates.iter().filter(move |(_, alive)| now <= **alive + within).map(|(number, _)| *number)
+    }
+
+    pub fn dropped(&self) -> Dropped {
+        self.dropped
+    }
+
+    /// Those of which a newer word came, or an own one was told, since this was last asked.
+    pub fn news(&mut self) -> Vec<Topic> {
+        std::mem::take(&mut self.news).into_iter().collect()
+    }
+
+    pub fn word(&self, now: Duration, topic: &Topic) -> Option<&Word> {
+        let word = self.words.get(topic)?;
+        self.lane(topic.kind).filter(|lane| now < word.told + lane.lasts).map(|_| word)
+    }
+
+    /// All words of a kind that are not past their age, with their topics, in order.
+    pub fn words(&self, now: Duration, kind: u8) -> impl Iterator<Item = (Topic, &Word)> {
+        let lasts = self.lane(kind).map_or(Duration::ZERO, |lane| lane.lasts);
+        let from = Topic { kind, part: 0, teller: 0 };
+        let to = Topic { kind, part: u8::MAX, teller: u16::MAX };
+        let all = self.words.range(from..=to).map(|(topic, word)| (*topic, word));
+        all.filter(move |(_, word)| now < word.told + lasts)
+    }
+
+    /// How often a word is told on.
+    fn enough(&self) -> u32 {
+        usize::BITS - self.stand.routers.leading_zeros() + MORE
+    }
+
+    /// Tells on what was told least.
+    pub fn tick(&mut self, now: Duration, mouth: &mut dyn Mouth) {
+        if let Some((_, rounds)) = self.hurry.filter(|(at, _)| now >= *at) {
+            self.hurry = (rounds > 1).then_some((now + HURRY, rounds - 1));
+            for _ in 0..HURRY_TO {
+                let to = self.any();
+                self.tell(now, to, true, mouth);
+            }
+        }
+        if now < self.next {
+            return;
+        }
+        // After a pause no periods are made up for.
+        self.next = now + PERIOD;
+        self.forget(now);
+        for _ in 0..if self.mates.is_empty() { 0 } else { MATES_TOLD } {
+            let at = self.chance.usize(..self.mates.len());
+            if let Some(mate) = self.mates.keys().nth(at).copied() {
+                self.tell(now, mate, false, mouth);
+            }
+        }
+        let to = self.any();
+        self.tell(now, to, false, mouth);
+    }
+
+    fn any(&mut self) -> u16 {
+        let drawn = self.chance.usize(..self.stand.routers - 1) as u16;
+        drawn + u16::from(drawn >= self.stand.number)
+    }
+
+    fn forget(&mut self, now: Duration) {
+        let lanes = &self.lanes;
+        let lasts =
+            |kind: u8| lanes.iter().find(|lane| lane.kind == kind).map_or(Duration::ZERO, |l| l.lasts);
+        self.words.retain(|topic, word| now < word.told + lasts(topic.kind));
+    }
+
+    /// One datagram, to a router of this place or not.
+    fn tell(&mut self, now: Duration, to: u16, urgent: bool, mouth: &mut dyn Mouth) {
+        let (near, enough) = (self.mates.contains_key(&to), self.enough());
+        let lanes = &self.lanes;
+        let lane = |kind: u8| lanes.iter().find(|lane| lane.kind == kind);
+        let chance = &mut self.chance;
+        // What was told least goes first, but by chance too: by age alone the youngest would fill every datagram,
+        // and what has come over two routers would never get to a third.
+        let mut fit: Vec<(f64, Topic, &mut Word)> = self
+            .words
+            .iter_mut()
+            .filter(|(topic, word)| {
+                lane(topic.kind).is_some_and(|lane| (near || !lane.near) && now < word.told + lane.lasts)
+                    && word.passed_on < enough
+                    && topic.teller != to
+                    && (!urgent || word.urgent)
+            })
+            .map(|(topic, word)| (f64::from(word.passed_on) + 2.0 * chance.f64(), *topic, word))
+            .collect();
+        if fit.is_empty() {
+            return;
+        }
+        fit.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (mut words, mut room) = (Vec::new(), MOST_BYTES - HEAD);
+        for (_, topic, word) in fit {
+            let needs = WORD_HEAD + word.body.len();
+            if needs > room {
+                continue;
+            }
+            room -= needs;
+            word.passed_on += 1;
+            words.push(Carried {
+                topic,
+                place: word.place,
+                version: word.version,
+                age: now.saturating_sub(word.told),
+                urgent: word.urgent,
+                body: word.body.clone(),
+            });
+        }
+        mouth.say(To::One(u64::from(to)), &encode(self.stand.place, &words));
+    }
+
+    /// A datagram has come from the router of this number; false: it is none of words.
+    pub fn heard(&mut self, now: Duration, from: u64, bytes: &[u8]) -> bool {
+        let Some(read) = decode(bytes) else { return false };
+        let Ok((place, words)) = read else {
+            self.dropped.faulty += 1;
+            return true;
+        };
+        let there_is = from < self.stand.routers as u64 && from != u64::from(self.stand.number);
+        if !there_is {
+            self.dropped.strange += 1;
+            return true;
+        }
+        if place == self.stand.place {
+            self.mate(from as u16, now);
+        } else {
+            self.mates.remove(&(from as u16));
+        }
+        for word in words {
+            self.take(now, word);
+        }
+        true
+    }
+
+    fn take(&mut self, now: Duration, carried: Carried) {
+        let Carried { topic, place, version, age, urgent, body } = carried;
+        let own = topic.teller == self.stand.number;
+        let lane = self.lane(topic.kind).filter(|lane| !own && (!lane.near || place == self.stand.place));
+        let (Some(lane), true) = (lane, usize::from(topic.teller) < self.stand.routers) else {
+            self.dropped.strange += u64::from(!own);
+            return;
+        };
+        let known = self.words.get(&topic).filter(|word| now < word.told + lane.lasts);
+        if age >= lane.lasts || known.is_some_and(|word| word.version >= version) {
+            self.dropped.old += 1;
+            return;
+        }
+        let told = now.saturating_sub(age);
+        let (fresh, new) = (known.is_none_or(|word| word.body != body), known.is_none());
+        if place == self.stand.place {
+            self.mate(topic.teller, told);
+        }
+        if new && !self.room(&topic, place, told, lane) {
+            return;
+        }
+        self.words.insert(topic, Word { place, version, body, told, urgent, passed_on: 0 });
+        self.news.insert(topic);
+        // Only what says something new is worth a hurry: the same again goes its usual way.
+        if urgent && fresh {
+            self.hurry_up(now);
+        }
+    }
+
+    /// Whether one more teller of this part and place is kept; it may push out the one that was heard longest
+    /// ago.
+    fn room(&mut self, topic: &Topic, place: u8, told: Duration, lane: Lane) -> bool {
+        let from = Topic { teller: 0, ..*topic };
+        let same = self.words.range(from..=Topic { teller: u16::MAX, ..*topic });
+        let of_place = same.filter(|(t, word)| word.place == place && t.teller != self.stand.number);
+        let (count, oldest) = of_place.fold((0, None::<(Duration, Topic)>), |(count, oldest), (t, word)| {
+            let this = (word.told, *t);
+            (count + 1, Some(oldest.map_or(this, |o| o.min(this))))
+        });
+        match oldest {
+            Some((at, _)) if count >= lane.keep && at >= told => false,
+            Some((_, gone)) if count >= lane.keep => {
+                self.words.remove(&gone);
+                true
+            }
+            _ => self.words.len() < WORDS_MOST,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn ms(ms: u64) -> Duration {
+        Duration::from_millis(ms)
+    }
+
+    const LANES: [Lane; 2] = [
+        Lane { kind: 1, near: false, keep: 3, lasts: Duration::from_secs(5) },
+        Lane { kind: 2, near: true, keep: 64, lasts: Duration::from_secs(5) },
+    ];
+
+    #[derive(Default)]
+    struct Said(Vec<(To, Vec<u8>)>);
+
+    impl Mouth for Said {
+        fn say(&mut self, to: To, bytes: &[u8]) {
+            assert!(bytes.len() <= MOST_BYTES);
+            self.0.push((to, bytes.to_vec()));
+        }
+    }
+
+    fn rumours(number: usize, routers: usize, incarnation: u32) -> Rumours {
+        let place = (number % 10) as u8;
+        let stand = Stand { number: number as u16, routers, place, incarnation, seed: number as u64 };
+        Rumours::start(Duration::ZERO, stand, &LANES).expect("not alone")
+    }
+
+    /// Routers in a net that loses and doubles.
+    struct Net {
+        all: Vec<Rumours>,
+        loses: f64,
+        bytes: usize,
+        chance: fastrand::Rng,
+    }
+
+    impl Net {
+        fn new(routers: usize, loses: f64) -> Net {
+            let all = (0..routers).map(|n| rumours(n, routers, 1)).collect();
+            Net { all, loses, bytes: 0, chance: fastrand::Rng::with_seed(3) }
+        }
+
+        fn until(&mut self, from: u64, to: u64, mut each: impl FnMut(u64, &mut Vec<Rumours>)) {
+            for now in (from..to).step_by(5) {
+                each(now, &mut self.all);
+                for number in 0..self.all.len() {
+                    let mut said = Said::default();
+                    self.all[number].tick(ms(now), &mut said);
+                    for (to, bytes) in said.0 {
+                        let To::One(to) = to else { panic!("nobody is told all") };
+                        self.bytes += bytes.len();
+                        let copies = usize::from(self.chance.f64() >= self.loses)
+                            * (1 + usize::from(self.chance.bool()));
+                        for _ in 0..copies {
+                            assert!(self.all[to as usize].heard(ms(now), number as u64, &bytes));
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn seconds_bytes(routers: usize) -> f64 {
+        let mut net = Net::new(routers, 0.0);
+        let each = |now: u64, all: &mut Vec<Rumours>| {
+            if now.is_multiple_of(250) {
+                all.iter_mut().for_each(|r| {
+                    r.say(ms(now), 1, 0, vec![7; 30], false);
+                    r.say(ms(now), 2, 0, vec![7; 11], false);
+                });
+            }
+        };
+        net.until(0, 4000, each);
+        net.bytes = 0;
+        net.until(4000, 8000, each);
+        net.bytes as f64 / 4.0 / routers as f64
+    }
+
+    #[test]
+    fn a_word_in_a_hurry_reaches_two_hundred_routers_in_no_time_though_a_third_is_lost() {
+        let mut net = Net::new(200, 0.3);
+        net.until(0, 2000, |_, _| {});
+        net.all[17].say(ms(2000), 1, 4, b"down".to_vec(), true);
+        net.until(2000, 2400, |_, _| {});
+        let topic = Topic { kind: 1, part: 4, teller: 17 };
+        let heard = net.all.iter().filter(|r| r.word(ms(2400), &topic).is_some()).count();
+        assert!(heard >= 190, "{heard} of 200 within 0.4 s");
+        net.until(2400, 3400, |_, _| {});
+        let heard = net.all.iter().filter(|r| r.word(ms(3400), &topic).is_some()).count();
+        assert_eq!(heard, 200);
+        // Past its age it is as if it had never been told.
+        net.until(3400, 7300, |_, _| {});
+        assert!(net.all.iter().all(|r| r.words(ms(7300), 1).count() == 0));
+    }
+
+    #[test]
+    fn what_is_near_stays_near_and_bytes_do_not_grow_with_the_fleet() {
+        let mut net = Net::new(200, 0.1);
+        net.until(0, 7000, |now, all| {
+            if now.is_multiple_of(250) {
+                all.iter_mut().for_each(|r| r.say(ms(now), 2, 0, vec![1, 2, 3], false));
+                all.iter_mut().for_each(|r| r.say(ms(now), 1, 0, vec![1, 2, 3], false));
+            }
+        });
+        for (number, r) in net.all.iter().enumerate() {
+            assert!(r.words(ms(7000), 2).all(
+                |(t, w)| usize::from(t.teller) % 10 == number % 10 && usize::from(w.place) == number % 10
+            ));
+            let mates = r.words(ms(7000), 2).count();
+            assert!(mates >= 15, "{mates} of 20 mates");
+            for place in 0..10 {
+                let tellers = r
+                    .words(ms(4000), 1)
+                    .filter(|(t, w)| w.place == place && usize::from(t.teller) != number)
+                    .count();
+                assert!((2..=3).contains(&tellers), "{tellers} tellers of place {place} at {number}");
+            }
+        }
+        let (large, small) = (seconds_bytes(200), seconds_bytes(20));
+        assert!(large <= small * 1.3, "{large} bytes a router and second, {small} at a tenth");
+    }
+
+    #[test]
+    fn who_starts_anew_is_believed_over_its_earlier_life_and_late_words_are_not() {
+        let mut r = rumours(0, 20, 1);
+        let word = |incarnation, number, body: &[u8]| Carried {
+            topic: Topic { kind: 1, part: 0, teller: 5 },
+            place: 5,
+            version: Version { incarnation, number },
+            age: Duration::ZERO,
+            urgent: false,
+            body: body.to_vec(),
+        };
+        let held = |r: &Rumours| r.words(ms(100), 1).next().map(|(_, w)| w.body.clone());
+        for (came, stays) in [
+            (word(3, 9, b"old life"), b"old life".as_slice()),
+            (word(4, 1, b"new life"), b"new life"),
+            (word(3, 10, b"late"), b"new life"),
+            (word(4, 1, b"doubled"), b"new life"),
+            (word(4, 2, b"newer"), b"newer"),
+        ] {
+            r.heard(ms(100), 5, &encode(5, &[came]));
+            assert_eq!(held(&r).as_deref(), Some(stays));
+        }
+        assert_eq!(r.dropped().old, 2);
+        // Of nobody that there is, of no lane, in this router's own name.
+        for (teller, kind) in [(20, 1), (5, 9), (0, 1)] {
+            let mut wrong = word(9, 9, b"x");
+            (wrong.topic.teller, wrong.topic.kind) = (teller, kind);
+            r.heard(ms(100), 5, &encode(5, &[wrong]));
+        }
+        assert_eq!((held(&r).as_deref(), r.words(ms(100), 1).count()), (Some(b"newer".as_slice()), 1));
+        r.heard(ms(100), 77, &encode(5, &[word(9, 9, b"x")]));
+        assert_eq!(r.dropped().strange, 3);
+    }
+
+    #[test]
+    fn the_freshest_tellers_of_a_place_are_kept_and_no_flood_grows_the_table() {
+        let mut r = rumours(0, 60_000, 1);
+        for n in 1..60_000u16 {
+            let topic = Topic { kind: 1 + (n % 2) as u8, part: (n % 251) as u8, teller: n };
+            let version = Version { incarnation: 1, number: 1 };
+            let (place, age) = ((n % 200) as u8, Duration::from_millis(u64::from(n % 97) * 10));
+            let word = Carried { topic, place, version, age, urgent: true, body: vec![0; 8] };
+            r.heard(ms(100), u64::from(n), &encode(place, &[word]));
+        }
+        assert!(r.words.len() <= WORDS_MOST, "{}", r.words.len());
+        let mut said = Said::default();
+        (0..200).for_each(|n| r.tick(ms(100 + n * 5), &mut said));
+        assert!(
+            said.0.len() <= HURRIES_MOST as usize * HURRY_TO * HURRY_ROUNDS as usize + 10,
+            "{}",
+            said.0.len()
+        );
+    }
+
+    proptest! {
+        #[test]
+        fn any_bytes_are_read_whole_or_refused(
+            mut bytes in prop::collection::vec(any::<u8>(), 0..280), own: bool, count in 0u8..4,
+        ) {
+            if own && bytes.len() > 4 {
+                (bytes[0], bytes[1], bytes[3]) = (FORMAT, 0, count);
+            }
+            if let Some(Ok((place, words))) = decode(&bytes) {
+                prop_assert_eq!(encode(place, &words), bytes);
+            }
+        }
+
+        #[test]
+        fn in_whatever_order_and_however_often_words_come_the_same_stays(
+            numbers in prop::collection::vec((1u32..3, 1u32..6), 1..12), turn in any::<u64>(),
+        ) {
+            let word = |(incarnation, number): (u32, u32)| Carried {
+                topic: Topic { kind: 1, part: 0, teller: 5 }, place: 5,
+                version: Version { incarnation, number }, age: Duration::ZERO, urgent: false,
+                body: vec![incarnation as u8, number as u8],
+            };
+            let mut turned = numbers.clone();
+            turned.extend(numbers.clone());
+            fastrand::Rng::with_seed(turn).shuffle(&mut turned);
+            let held = |order: &[(u32, u32)]| {
+                let mut r = rumours(0, 20, 1);
+                order.iter().for_each(|n| { r.heard(ms(1), 5, &encode(5, &[word(*n)])); });
+                r.words(ms(1), 1).next().map(|(_, w)| w.body.clone())
+            };
+            let newest = *numbers.iter().max().expect("some");
+            prop_assert_eq!(held(&numbers), held(&turned));
+            prop_assert_eq!(held(&turned), Some(vec![newest.0 as u8, newest.1 as u8]));
+        }
+    }
+}
