--- a/crates/directives/src/lib.rs
+++ b/crates/directives/src/lib.rs
@@ -16,7 +16,9 @@
 mod words;
 
 pub use values::Amount;
-pub use words::{Bound, CellMembers, Cells, Entry, Log, LogFormat, Peers, Set, Store, Table, Told, WORDS};
+pub use words::{
+    Bound, CellMembers, Cells, Entry, Log, LogFormat, Peers, Regions, Set, Store, Table, Told, WORDS,
+};
 
 use lines::{Line, Word};
 use std::fmt;
--- a/crates/directives/src/words.rs
+++ b/crates/directives/src/words.rs
@@ -14,6 +14,22 @@
     pub store: Store,
     pub cells: Cells,
     pub peers: Peers,
+    pub regions: Regions,
+}
+
+/// What the routers of all locations decide in common. All is off unless given.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Regions {
+    /// Tells all routers how this location is, and heeds what they tell.
+    pub in_common: bool,
+    /// Measures the ways to other locations' caches.
+    pub measure: bool,
+    /// Accesses may go to other locations' caches when their own are down.
+    pub abroad: bool,
+    /// Names of regions, and the locations of each.
+    pub regions: Vec<(String, Vec<String>)>,
+    /// Locations that are emptied, and take nothing.
+    pub drained: Vec<String>,
 }
 
 /// Talk among the routers of a location. Without it each decides by its own traffic alone.
@@ -220,7 +236,7 @@
 
 /// Every directive there is.
 pub const WORDS: Table<Told> = Table::new(
-    &["store", "cells", "peers"],
+    &["store", "cells", "peers", "regions"],
     &[
         one("", "log-format", "text|json", "how a log line looks", |told, words| {
             told.log.format = match words[0] {
@@ -404,6 +420,68 @@
             told.cells.overlap = Some(at(0, values::whole(words[0], 0, 10_000))? as usize);
             Ok(())
         }),
+        one(
+            "regions",
+            "in-common",
+            "on|off",
+            "decides with all routers where accesses go when a place is down",
+            |told, words| {
+                told.regions.in_common = on_or_off(words[0])?;
+                Ok(())
+            },
+        ),
+        one(
+            "regions",
+            "measure",
+            "on|off",
+            "with in-common: measures the ways to other locations",
+            |told, words| {
+                told.regions.measure = on_or_off(words[0])?;
+                Ok(())
+            },
+        ),
+        one(
+            "regions",
+            "abroad",
+            "on|off",
+            "with in-common: accesses may go to other locations' caches",
+            |told, words| {
+                told.regions.abroad = on_or_off(words[0])?;
+                Ok(())
+            },
+        ),
+        Entry {
+            section: "regions",
+            name: "region",
+            takes: "NAME LOCATION..",
+            count: 2..=64,
+            many: true,
+            says: "locations that are near one another",
+            set: |told, words| {
+                if told.regions.regions.iter().any(|(name, _)| name == words[0]) {
+                    return Err((0, format!("region {} is told twice", words[0])));
+                }
+                let locations: Vec<String> = words[1..].iter().map(|w| (*w).to_owned()).collect();
+                let taken = |at: &String| told.regions.regions.iter().any(|(_, all)| all.contains(at));
+                if let Some(place) = locations.iter().position(taken) {
+                    return Err((place + 1, format!("{} is in a region already", words[place + 1])));
+                }
+                told.regions.regions.push((words[0].to_owned(), locations));
+                Ok(())
+            },
+        },
+        Entry {
+            section: "regions",
+            name: "drain",
+            takes: "LOCATION",
+            count: 1..=1,
+            many: true,
+            says: "empties a location, as fast as others can take it",
+            set: |told, words| {
+                told.regions.drained.push(words[0].to_owned());
+                Ok(())
+            },
+        },
         one("peers", "tell", "on|off", "tells the routers of the location what it sights", |told, words| {
             told.peers.tell = on_or_off(words[0])?;
             Ok(())
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,8 @@
 //! | [`work`] | who asks for what and when, drawn from the seed |
 //! | [`truth`], [`station`], [`copies`] | the servers as they are; no I/O |
 //! | [`watch`] | the five rules and conservation, over all routers together; no I/O |
+//! | [`ways`] | the network between locations; no I/O |
+//! | [`places`] | what became of each location's accesses; no I/O |
 //! | [`even`] | how even load lies, and how it would under other rules; no I/O |
 //! | [`children`], [`net`], [`wire`] | processes, datagrams, connections |
 //! | [`run`] | plays it |
@@ -17,11 +19,13 @@
 pub mod copies;
 pub mod even;
 pub mod net;
+pub mod places;
 pub mod play;
 pub mod report;
 pub mod run;
 pub mod station;
 pub mod truth;
 pub mod watch;
+pub mod ways;
 pub mod wire;
 pub mod work;
--- a/crates/fleet/src/net.rs
+++ b/crates/fleet/src/net.rs
@@ -3,6 +3,7 @@
 //! router i sends to j's socket is known by where it comes from, and goes on from i's socket to j. So each
 //! sees its mates where it was told.
 
+use crate::ways::Ways;
 use chalkhall_members::codec::{Datagram, Finding, KEY_BITS, MOST_BYTES};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +24,9 @@
     pub deaf: Vec<bool>,
     /// Where its chance starts from.
     pub seed: u64,
+    /// What it takes between locations, and by router at which it stands.
+    pub ways: Option<Rc<Ways>>,
+    pub locations: usize,
 }
 
 /// A datagram held back so long comes after the next one of its sender.
@@ -111,7 +115,12 @@
     }
     let copies = 1 + usize::from(chance.f64() < weather.doubled);
     for _ in 0..copies {
-        let mut wait = weather.late.mul_f64(chance.f64());
+        let way = weather.ways.as_ref().map(|ways| {
+            let place = |router: usize| router % weather.locations.max(1);
+            ways.datagram(place(sender), place(receiver), chance)
+        });
+        let Some(way) = way.unwrap_or(Some(Duration::ZERO)) else { continue };
+        let mut wait = weather.late.mul_f64(chance.f64()) + way;
         if chance.f64() < weather.turned {
             wait += TURNED;
         }
--- a/crates/fleet/src/play.rs
+++ b/crates/fleet/src/play.rs
@@ -91,6 +91,12 @@
     Hot(f64),
     /// All work of one location comes to another one.
     Shift(usize, usize),
+    /// All caches of a region's locations are gone, as `Lose`.
+    LoseRegion(usize),
+    /// Ways between locations, from and to (none: all): so many times as slow, cut, or losing a share.
+    WaysSlow(Option<usize>, Option<usize>, f64),
+    WaysCut(Option<usize>, Option<usize>),
+    WaysLose(Option<usize>, Option<usize>, f64),
 }
 
 /// From when, for or over how long, what.
@@ -121,8 +127,33 @@
     pub warm_within: Duration,
     /// Lines of the operators' file that every router is started with.
     pub directives: Vec<(String, String)>,
-    /// Addresses by which a server is reached differ by so many groups of routers.
+    /// Addresses by which a server is reached differ by so many groups of routers; by location, where ways
+    /// between locations take time.
     pub groups: usize,
+    /// Among which the locations lie, in blocks.
+    pub regions: usize,
+    /// What a word takes one way between locations of a region, and of two; nothing: no time at all.
+    pub near: Duration,
+    pub far: Duration,
+    /// It takes up to this share more.
+    pub jitter: f64,
+    /// Parents and origin take executions too.
+    pub pass_through: bool,
+}
+
+impl FleetOf {
+    /// Groups of routers by address.
+    pub fn doors(&self) -> usize {
+        if self.near.is_zero() && self.far.is_zero() { self.groups } else { self.locations }
+    }
+
+    pub fn group(&self, router: usize) -> usize {
+        if self.doors() == self.groups && self.near.is_zero() && self.far.is_zero() {
+            (router / self.locations) % self.groups
+        } else {
+            router % self.locations
+        }
+    }
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -158,6 +189,12 @@
     pub idle: Option<f64>,
     pub herd: Option<f64>,
     pub swing: Option<f64>,
+    /// Of what the locations that were lost asked for, from then until five seconds after their return.
+    pub lost_service: Option<f64>,
+    /// From a location's loss until four in five of its accesses go elsewhere.
+    pub plan: Option<Duration>,
+    /// Share of accesses that left their location without need.
+    pub needless: Option<f64>,
     /// When the last fault is over, what is measured again begins after this.
     pub after: Option<Duration>,
 }
@@ -189,6 +226,11 @@
                 warm_within: seconds(10),
                 directives: Vec::new(),
                 groups: 4,
+                regions: 1,
+                near: Duration::ZERO,
+                far: Duration::ZERO,
+                jitter: 0.2,
+                pass_through: true,
             },
             work: Work {
                 lasts: seconds(10),
@@ -236,6 +278,11 @@
             wrong(fault.at > self.work.lasts, format!("a fault at {:?} comes after the end", fault.at));
             let locations: Vec<usize> = match fault.what {
                 What::Shift(from, to) => vec![from, to],
+                What::WaysSlow(a, b, _) | What::WaysCut(a, b) | What::WaysLose(a, b, _) => {
+                    let no_time = fleet.near.is_zero() && fleet.far.is_zero();
+                    wrong(no_time, "ways break only where near or far is told".into());
+                    a.into_iter().chain(b).collect()
+                }
                 What::Slow(Whom::Location(at), _) | What::Lose(Whom::Location(at)) => vec![at],
                 _ => Vec::new(),
             };
@@ -321,7 +368,21 @@
         ("silent", [w @ .., "to", "routers", of]) => What::Apart(whom(place, w)?, at(place + 4, part(of))?),
         ("silent", w) => What::Silent(whom(place, w)?),
         ("resets", [w @ .., of]) => What::Resets(whom(place, w)?, share(place + 2, of)?),
+        ("lose", ["region", of]) => What::LoseRegion(at(place + 1, values::whole(of, 0, 100))? as usize),
         ("lose", w) => What::Lose(whom(place, w)?),
+        ("ways", [from, to, what @ ..]) => {
+            let one = |place: usize, word: &str| match word {
+                "all" => Ok(None),
+                word => at(place, values::whole(word, 0, 10_000)).map(|n| Some(n as usize)),
+            };
+            let (from, to) = (one(place, from)?, one(place + 1, to)?);
+            match what {
+                ["slow", "by", by] => What::WaysSlow(from, to, times(place + 4, by)?),
+                ["cut"] => What::WaysCut(from, to),
+                ["lose", of] => What::WaysLose(from, to, share(place + 3, of)?),
+                _ => return Err((place + 2, "slow by NUMBER, cut, or lose SHARE?".into())),
+            }
+        }
         ("drain", w) => What::Drain(whom(place, w)?),
         ("replace", w) => What::Replace(whom(place, w)?),
         ("join", [count]) => What::Join(at(place, values::whole(count, 1, 1000))? as usize),
@@ -430,6 +491,30 @@
                 Ok(())
             },
         ),
+        one("fleet", "pass-through", "on|off", "parents and origin take executions too", |p, w| {
+            p.fleet.pass_through = match w[0] {
+                "on" => true,
+                "off" => false,
+                other => return Err((0, format!("{other:?} is neither on nor off"))),
+            };
+            Ok(())
+        }),
+        one("fleet", "regions", "COUNT", "among which the locations lie, in blocks", |p, w| {
+            p.fleet.regions = whole(w[0], 1, 100)?;
+            Ok(())
+        }),
+        one("fleet", "near", "SPAN", "what a word takes one way between locations of a region", |p, w| {
+            p.fleet.near = at(0, values::span(w[0]))?;
+            Ok(())
+        }),
+        one("fleet", "far", "SPAN", "the same between regions", |p, w| {
+            p.fleet.far = at(0, values::span(w[0]))?;
+            Ok(())
+        }),
+        one("fleet", "jitter", "SHARE", "up to how much more it takes", |p, w| {
+            p.fleet.jitter = at(0, values::share(w[0]))?;
+            Ok(())
+        }),
         Entry {
             section: "fleet",
             name: "directive",
@@ -533,6 +618,18 @@
             p.must.swing = Some(number(w[0], 0.0, 1000.0)?);
             Ok(())
         }),
+        one("must", "lost-service", "SHARE", "of what lost locations asked for, at least", |p, w| {
+            p.must.lost_service = Some(at(0, values::share(w[0]))?);
+            Ok(())
+        }),
+        one("must", "plan", "SPAN", "from a loss until accesses go elsewhere, at most", |p, w| {
+            p.must.plan = Some(at(0, values::span(w[0]))?);
+            Ok(())
+        }),
+        one("must", "needless", "SHARE", "of accesses that left without need, at most", |p, w| {
+            p.must.needless = Some(at(0, values::share(w[0]))?);
+            Ok(())
+        }),
         one("must", "after", "SPAN", "what is measured begins so long after the last fault", |p, w| {
             p.must.after = Some(at(0, values::span(w[0]))?);
             Ok(())
--- a/crates/fleet/src/report.rs
+++ b/crates/fleet/src/report.rs
@@ -27,6 +27,12 @@
     most("idle", shown.even["real"].idle, must.idle);
     most("herd", shown.herd, must.herd);
     most("swing", shown.even["real"].swing, must.swing);
+    most("needless", shown.of_places.needless, must.needless);
+    let plan = shown.of_places.plan.map_or(f64::INFINITY, |plan| plan.as_secs_f64());
+    most("plan", plan, must.plan.map(|may| may.as_secs_f64()));
+    if let Some(least) = must.lost_service.filter(|least| shown.of_places.lost_service < *least) {
+        found.push(format!("lost service {:.3}, at least {least:.3}", shown.of_places.lost_service));
+    }
     if let Some(least) = must.service.filter(|least| shown.service_after < *least) {
         found.push(format!("service {:.3}, at least {least:.3}", shown.service_after));
     }
@@ -59,6 +65,13 @@
         ("swing", format!("{}", real.swing)),
         ("herd", three(shown.herd)),
         ("strain", three(shown.strain)),
+        ("lost_service", three(shown.of_places.lost_service)),
+        ("lost_limit", three(shown.of_places.lost_limit)),
+        ("plan_s", shown.of_places.plan.map_or_else(|| "-".into(), |plan| three(plan.as_secs_f64()))),
+        ("abroad", three(shown.of_places.abroad)),
+        ("needless", three(shown.of_places.needless)),
+        ("toppled", shown.of_places.toppled.to_string()),
+        ("bytes_s", three(shown.bytes_s())),
         ("p50_ms", shown.answers_ms.value_at_quantile(0.5).to_string()),
         ("p99_ms", shown.answers_ms.value_at_quantile(0.99).to_string()),
         ("retries", shown.retries.to_string()),
--- a/crates/fleet/src/run.rs
+++ b/crates/fleet/src/run.rs
@@ -6,9 +6,11 @@
 use crate::copies::Copy;
 use crate::even::{self, Place, Rule};
 use crate::net::{Carried, Net, Weather};
+use crate::places::{Kept, Places};
 use crate::play::{Fault, Part, Play, What, Whom};
 use crate::truth::{Ask, Said, Server, Standing, Tier, Truth, Warmth, Word};
 use crate::watch::{Breaks, Final, Life};
+use crate::ways::{self, Ways};
 use crate::wire::{self, Answer, Asked, Door, Event, Events, Request};
 use crate::work::{self, Arrival};
 use bytes::Bytes;
@@ -18,6 +20,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep_until;
@@ -89,6 +92,17 @@
     pub events: Vec<(Duration, String)>,
     pub retries: u64,
     pub measured_from: Duration,
+    /// What became of the locations' accesses.
+    pub of_places: Places,
+    /// From the first router's start to the end.
+    pub lasted: Duration,
+}
+
+impl Shown {
+    /// Bytes of datagrams that a router sent in a second, on average.
+    pub fn bytes_s(&self) -> f64 {
+        self.datagrams.bytes as f64 / self.routers.max(1) as f64 / self.lasted.as_secs_f64().max(1.0)
+    }
 }
 
 struct Process {
@@ -153,6 +167,9 @@
     Start(usize),
     Tell(usize),
     Lie(usize),
+    /// Something has come over the ways, to a server; and from one to a connection.
+    Come(Box<Event>),
+    Say(u64, Bytes),
 }
 
 struct World {
@@ -169,6 +186,10 @@
     names: HashMap<String, usize>,
     routers: Vec<Process>,
     net: Net,
+    ways: Option<Ways>,
+    /// By connection: when the last bytes each way came, since none overtake others.
+    lately: HashMap<u64, [Duration; 2]>,
+    kept: Kept,
     weather: watch::Sender<Weather>,
     noted: Vec<Noted>,
     lists_late: Duration,
@@ -266,14 +287,21 @@
         let peers: Vec<SocketAddr> = (0..fleet.routers).map(|i| listen(i, 7946)).collect();
         let at = format!("127.{block}.200.1");
         let net = Net::open(peers, &at).await?;
-        let weather = Weather { deaf: vec![false; fleet.routers], seed: setup.seed, ..Weather::default() };
+        let ways = Ways::new(&fleet);
+        let weather = Weather {
+            deaf: vec![false; fleet.routers],
+            seed: setup.seed,
+            ways: ways.clone().map(Rc::new),
+            locations: fleet.locations,
+            ..Weather::default()
+        };
         let arrivals = work::arrivals(&play, setup.seed);
         let shares = work::shares(fleet.routers, play.work.uneven, setup.seed);
         let routers = (0..fleet.routers).map(|i| {
             let links = 1 + (shares[i] * fleet.routers as f64).round() as usize;
             Process {
                 location: work::location(i, &play),
-                group: (i / fleet.locations) % fleet.groups,
+                group: fleet.group(i),
                 listen: listen(i, 5050),
                 child: None,
                 up: false,
@@ -302,6 +330,9 @@
             names: HashMap::new(),
             routers: routers.collect(),
             net,
+            ways,
+            lately: HashMap::new(),
+            kept: Kept::new(fleet.locations, seconds),
             weather: watch::channel(weather).0,
             noted: Vec::new(),
             lists_late: Duration::ZERO,
@@ -354,8 +385,8 @@
             Tier::Parent => (fleet.parent_capacity, fleet.memory_kb * 20.0),
             Tier::Origin => (fleet.origin_capacity, 0.0),
         };
-        let number = self.truth.join(Server::new(name.clone(), tier, capacity, memory, fleet.groups));
-        let doors = (0..fleet.groups)
+        let number = self.truth.join(Server::new(name.clone(), tier, capacity, memory, fleet.doors()));
+        let doors = (0..fleet.doors())
             .map(|group| wire::door(&self.at, number, group, self.numbers.clone(), self.events.clone()))
             .collect::<Result<Vec<Door>, String>>()?;
         self.doors.push(doors);
@@ -659,12 +690,46 @@
     fn answer(&mut self) {
         let now = self.now();
         for said in self.truth.said(now) {
-            let Some((server, _, out)) = self.connections.get(&said.connection) else { continue };
+            let Some((server, group, out)) = self.connections.get(&said.connection) else { continue };
             let at = &self.truth.servers[*server];
             if at.down || at.silent {
                 continue;
             }
-            let _ = out.try_send(self.worded(&said));
+            let (server, group, bytes) = (*server, *group, self.worded(&said));
+            if self.ways.is_some() {
+                self.over(now, said.connection, server, group, bytes);
+            } else {
+                let _ = out.try_send(bytes);
+            }
+        }
+    }
+
+    /// Where a server stands, among the ways.
+    fn place(&self, server: usize) -> usize {
+        if let Tier::Cache(at) = self.truth.servers[server].tier { at } else { self.play.fleet.locations }
+    }
+
+    /// When bytes that leave now come: not before those that left before. A cut holds them.
+    fn comes(
+        &mut self,
+        now: Duration,
+        connection: u64,
+        back: bool,
+        from: usize,
+        to: usize,
+    ) -> Option<Duration> {
+        let takes = self.ways.as_ref()?.takes(from, to, &mut self.chance);
+        let last = self.lately.entry(connection).or_default();
+        let at = (now + takes.unwrap_or(ways::AGAIN)).max(last[usize::from(back)]);
+        last[usize::from(back)] = at;
+        Some(at)
+    }
+
+    /// Bytes from a server go over the way to its router's location.
+    fn over(&mut self, now: Duration, connection: u64, server: usize, group: usize, bytes: Bytes) {
+        let from = self.place(server);
+        if let Some(at) = self.comes(now, connection, true, from, group) {
+            self.after(at, Timer::Say(connection, bytes));
         }
     }
 
@@ -693,9 +758,40 @@
         &mut self.seconds[(at.as_secs() as usize).min(last)]
     }
 
+    /// What comes to a server from another location takes the time of its way.
     fn take(&mut self, event: Event) {
+        let now = self.now();
+        let (connection, server, group) = match &event {
+            Event::Asked { connection, server, group, .. } => (*connection, *server, *group),
+            Event::Noop { connection, server, group, .. } => (*connection, *server, *group),
+            Event::Quit { connection, .. } => {
+                let Some((server, group, _)) = self.connections.get(connection) else { return };
+                (*connection, *server, *group)
+            }
+            _ => return self.come(event),
+        };
+        let to = self.place(server);
+        match self.comes(now, connection, false, group, to) {
+            Some(at) => self.after(at, Timer::Come(Box::new(event))),
+            None => self.come(event),
+        }
+    }
+
+    fn come(&mut self, event: Event) {
         let now = self.now();
         match event {
+            Event::Noop { connection, server, group, tag } => {
+                let at = &self.truth.servers[server];
+                if at.down || at.silent || at.apart.get(group) == Some(&true) {
+                    return;
+                }
+                let bytes = Bytes::from(format!("{tag} UP - 0\r\n\r\n"));
+                if self.ways.is_some() {
+                    self.over(now, connection, server, group, bytes);
+                } else if let Some((_, _, out)) = self.connections.get(&connection) {
+                    let _ = out.try_send(bytes);
+                }
+            }
             Event::Opened { connection, server, group, out } => {
                 self.second(now).opened += 1;
                 if !self.truth.servers[server].down {
@@ -708,6 +804,7 @@
             Event::Quit { connection, id } => self.truth.quit(connection, Some(id)),
             Event::Closed { connection } => {
                 self.connections.remove(&connection);
+                self.lately.remove(&connection);
                 self.truth.quit(connection, None);
             }
             Event::Nonsense { what } => {
@@ -867,6 +964,8 @@
         };
         let _ = self.answers.record(now.saturating_sub(at).as_millis().max(1) as u64);
         self.second(at).earned += earned;
+        let location = self.play.fleet.locations;
+        self.kept.earned(self.wants[want].arrival.router % location, at, earned);
     }
 
     /// The client has what it will get: nothing.
@@ -918,13 +1017,14 @@
                     self.after(next.at, Timer::Arrive(n + 1));
                 }
                 self.second(arrival.at).asked += 1.0;
+                self.kept.asked(arrival.router % self.play.fleet.locations, arrival.at);
                 let due = arrival.at + self.play.work.patience;
                 self.wants.push(Want { arrival, due, tries: 0, done: false });
                 self.try_it(self.wants.len() - 1);
             }
             Timer::Again(want) => self.try_it(want),
             Timer::Begin(n) => self.begin(n),
-            Timer::End(n) => self.over(n),
+            Timer::End(n) => self.ends(n),
             Timer::Step(n, whom) => self.step(n, whom),
             Timer::Beat => {
                 let line = Bytes::from(format!("{}\n", self.noted.len()));
@@ -957,6 +1057,27 @@
                 }
             }
             Timer::Tell(router) => self.tell_router(router),
+            Timer::Come(event) => {
+                let held = match &*event {
+                    Event::Asked { server, group, .. } | Event::Noop { server, group, .. } => {
+                        let to = self.place(*server);
+                        self.ways.as_ref().is_some_and(|ways| ways.cut[*group][to])
+                    }
+                    _ => false,
+                };
+                if held { self.after(now + ways::AGAIN, Timer::Come(event)) } else { self.come(*event) }
+            }
+            Timer::Say(connection, bytes) => {
+                let Some((server, group, out)) = self.connections.get(&connection) else { return };
+                let from = self.place(*server);
+                if self.ways.as_ref().is_some_and(|ways| ways.cut[from][*group]) {
+                    return self.after(now + ways::AGAIN, Timer::Say(connection, bytes));
+                }
+                let at = &self.truth.servers[*server];
+                if !at.down && !at.silent {
+                    let _ = out.try_send(bytes);
+                }
+            }
             Timer::Lie(n) => {
                 let Fault { at, lasts, .. } = self.play.faults[n];
                 for liar in self.struck.get(&n).cloned().unwrap_or_default() {
@@ -1015,6 +1136,11 @@
             | What::Reload(whom)
             | What::Deaf(whom)
             | What::Lie(whom) => self.whom(whom),
+            What::LoseRegion(region) => {
+                let all = 0..self.play.fleet.locations;
+                let of: Vec<usize> = all.filter(|at| ways::region(*at, &self.play.fleet) == region).collect();
+                of.into_iter().flat_map(|at| self.whom(Whom::Location(at))).collect()
+            }
             _ => Vec::new(),
         };
         self.tell(format!("{what:?}: {} struck", struck.len()));
@@ -1024,13 +1150,13 @@
             What::Errors(_) => struck.iter().for_each(|s| self.truth.servers[*s].errors = true),
             What::Silent(_) => struck.iter().for_each(|s| self.truth.servers[*s].silent = true),
             What::Apart(_, of) => {
-                let groups = of.of(self.play.fleet.groups);
+                let groups = of.of(self.play.fleet.doors());
                 for server in struck {
                     self.truth.servers[server].apart[..groups].fill(true);
                 }
             }
             What::Resets(_, share) => struck.iter().for_each(|s| self.truth.servers[*s].resets = share),
-            What::Lose(_) => {
+            What::Lose(_) | What::LoseRegion(_) => {
                 for server in &struck {
                     self.truth.lose(now, *server);
                     self.there(*server, false);
@@ -1091,14 +1217,25 @@
             What::Deaf(_) => self.weather.send_modify(|w| struck.iter().for_each(|r| w.deaf[*r] = true)),
             What::Lie(_) => self.after(now, Timer::Lie(n)),
             What::Hot(_) | What::Shift(..) => {}
+            What::WaysSlow(from, to, by) => self.ways(from, to, |ways, a, b| ways.slow[a][b] = by),
+            What::WaysCut(from, to) => self.ways(from, to, |ways, a, b| ways.cut[a][b] = true),
+            What::WaysLose(from, to, share) => self.ways(from, to, |ways, a, b| ways.lost[a][b] = share),
         }
         if !lasts.is_zero() {
             self.after(now + lasts, Timer::End(n));
         }
     }
 
+    /// Changes ways, for bytes and datagrams.
+    fn ways(&mut self, from: Option<usize>, to: Option<usize>, of: impl FnMut(&mut Ways, usize, usize)) {
+        let Some(ways) = &mut self.ways else { return };
+        ways.each(from, to, of);
+        let changed = Rc::new(ways.clone());
+        self.weather.send_modify(|weather| weather.ways = Some(changed));
+    }
+
     /// What broke is whole again.
-    fn over(&mut self, n: usize) {
+    fn ends(&mut self, n: usize) {
         let now = self.now();
         let struck = self.struck.get(&n).cloned().unwrap_or_default();
         let what = self.play.faults[n].what;
@@ -1109,7 +1246,7 @@
             What::Silent(_) => struck.iter().for_each(|s| self.truth.servers[*s].silent = false),
             What::Apart(..) => struck.iter().for_each(|s| self.truth.servers[*s].apart.fill(false)),
             What::Resets(..) => struck.iter().for_each(|s| self.truth.servers[*s].resets = 0.0),
-            What::Lose(_) => {
+            What::Lose(_) | What::LoseRegion(_) => {
                 for server in &struck {
                     self.truth.back(now, *server);
                     self.there(*server, true);
@@ -1140,6 +1277,9 @@
             What::Turned(_) => self.weather.send_modify(|w| w.turned = 0.0),
             What::Late(_) => self.weather.send_modify(|w| w.late = Duration::ZERO),
             What::Deaf(_) => self.weather.send_modify(|w| w.deaf.fill(false)),
+            What::WaysSlow(from, to, _) => self.ways(from, to, |ways, a, b| ways.slow[a][b] = 1.0),
+            What::WaysCut(from, to) => self.ways(from, to, |ways, a, b| ways.cut[a][b] = false),
+            What::WaysLose(from, to, _) => self.ways(from, to, |ways, a, b| ways.lost[a][b] = 0.0),
             _ => {}
         }
     }
@@ -1267,7 +1407,10 @@
         let late = Duration::from_millis(self.late.value_at_quantile(0.99));
         let void = (late > LATE_MOST).then(|| format!("its own turns came {late:?} late"));
         let asks = (self.truth.hits + self.truth.fills).max(1);
+        let of_places = self.kept.measure(&self.play, sent, &self.places);
         Shown {
+            of_places,
+            lasted: lasts,
             seed: self.setup.seed,
             routers: self.routers.len(),
             servers: self.truth.servers.len(),
@@ -1320,7 +1463,7 @@
         "FamilyInfo": {"ClassFresh": [ms(work.fresh), 0], "ClassWrite": [false, true],
             "ClientKbPerS": fleet.pace,
             "CrewByZone": crews, "HomeHub": vec![0; fleet.locations + 1], "ObeyAfter": 500,
-            "PassThroughOk": true,
+            "PassThroughOk": fleet.pass_through,
             "ParentFloor": fleet.cold_from, "ParentRamp": ms(fleet.warm_within), "ParentFallMultiple": 2,
             "PurgeDone": 6000, "Says": "all", "ShieldKind": 1, "SourceKind": 2},
         "Granularity": 2, "Kinds": ["cache", "parent", "origin"],
--- /dev/null
+++ b/crates/fleet/src/ways.rs
@@ -0,0 +1,141 @@
+//! The network between locations as it truly is: what a word takes from one to another, whether it comes at
+//! all, changing as a play says. Each way by itself, both directions apart. No I/O.
+//!
+//! Bytes on a connection are never lost: a loss costs them [`AGAIN`], as a segment that is sent again, and a cut
+//! holds them until it is over. Datagrams are lost. The parents and the origin stand at a place of their own,
+//! as near to each location as locations of one region are.
+
+use crate::play::FleetOf;
+use std::time::Duration;
+
+/// What a lost segment costs, and how often a cut is looked at.
+pub const AGAIN: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ways {
+    places: usize,
+    /// By from and to: one direction's usual time, what it is multiplied by, share lost, cut.
+    usual: Vec<Vec<Duration>>,
+    pub slow: Vec<Vec<f64>>,
+    pub lost: Vec<Vec<f64>>,
+    pub cut: Vec<Vec<bool>>,
+    jitter: f64,
+}
+
+/// The region of a location: they lie in blocks.
+pub fn region(location: usize, fleet: &FleetOf) -> usize {
+    location * fleet.regions / fleet.locations
+}
+
+impl Ways {
+    /// None where a play says nothing of ways: then words take no time.
+    pub fn new(fleet: &FleetOf) -> Option<Ways> {
+        if fleet.near.is_zero() && fleet.far.is_zero() {
+            return None;
+        }
+        // One more than there are locations: the hub.
+        let places = fleet.locations + 1;
+        let usual = |from: usize, to: usize| {
+            if from == to {
+                return fleet.near / 4;
+            }
+            let hub = from == fleet.locations || to == fleet.locations;
+            if hub || region(from, fleet) == region(to, fleet) {
+                return fleet.near;
+            }
+            // No two far ways are just alike.
+            fleet.far.mul_f64(0.7 + 0.6 * ((from * 7 + to * 13) % 11) as f64 / 10.0)
+        };
+        let all = |from: usize| (0..places).map(|to| usual(from, to)).collect();
+        Some(Ways {
+            places,
+            usual: (0..places).map(all).collect(),
+            slow: vec![vec![1.0; places]; places],
+            lost: vec![vec![0.0; places]; places],
+            cut: vec![vec![false; places]; places],
+            jitter: fleet.jitter,
+        })
+    }
+
+    /// What bytes take now; none: they are held.
+    pub fn takes(&self, from: usize, to: usize, chance: &mut fastrand::Rng) -> Option<Duration> {
+        if self.cut[from][to] {
+            return None;
+        }
+        let jitter = 1.0 + self.jitter * chance.f64();
+        let mut takes = self.usual[from][to].mul_f64(self.slow[from][to] * jitter);
+        // Sent again until it comes.
+        while chance.f64() < self.lost[from][to].min(0.9) {
+            takes += AGAIN;
+        }
+        Some(takes)
+    }
+
+    /// The same of a datagram; none: it is lost.
+    pub fn datagram(&self, from: usize, to: usize, chance: &mut fastrand::Rng) -> Option<Duration> {
+        if self.cut[from][to] || chance.f64() < self.lost[from][to] {
+            return None;
+        }
+        Some(self.usual[from][to].mul_f64(self.slow[from][to] * (1.0 + self.jitter * chance.f64())))
+    }
+
+    /// The median of there and back.
+    pub fn truth(&self, from: usize, to: usize) -> Duration {
+        let one = |a: usize, b: usize| self.usual[a][b].mul_f64(self.slow[a][b] * (1.0 + self.jitter / 2.0));
+        one(from, to) + one(to, from)
+    }
+
+    /// All ways that a play means by `from` and `to`; none: all of them, the hub's too.
+    pub fn each(
+        &mut self,
+        from: Option<usize>,
+        to: Option<usize>,
+        mut of: impl FnMut(&mut Ways, usize, usize),
+    ) {
+        let all = |of: Option<usize>, places: usize| of.map_or(0..places, |one| one..one + 1);
+        for a in all(from, self.places) {
+            for b in all(to, self.places) {
+                if a != b {
+                    of(self, a, b);
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::play::Play;
+
+    fn fleet() -> FleetOf {
+        let (near, far) = (Duration::from_millis(3), Duration::from_millis(30));
+        FleetOf { locations: 6, regions: 2, near, far, jitter: 0.2, ..Play::default().fleet }
+    }
+
+    #[test]
+    fn near_is_near_far_is_far_and_each_direction_is_its_own() {
+        let (fleet, mut chance) = (fleet(), fastrand::Rng::with_seed(1));
+        let mut ways = Ways::new(&fleet).expect("told");
+        assert_eq!((0..6).map(|at| region(at, &fleet)).collect::<Vec<_>>(), [0, 0, 0, 1, 1, 1]);
+        assert!(ways.truth(0, 1) < Duration::from_millis(8) && ways.truth(0, 4) > Duration::from_millis(40));
+        assert_eq!(ways.truth(0, 6), ways.truth(0, 1), "the hub");
+        ways.each(Some(0), Some(4), |ways, a, b| ways.cut[a][b] = true);
+        assert_eq!(ways.takes(0, 4, &mut chance), None);
+        assert!(ways.takes(4, 0, &mut chance).is_some() && ways.takes(0, 3, &mut chance).is_some());
+        ways.each(None, Some(2), |ways, a, b| ways.slow[a][b] = 5.0);
+        assert!(ways.takes(1, 2, &mut chance).expect("comes") >= Duration::from_millis(15));
+        assert!(ways.takes(2, 1, &mut chance).expect("comes") < Duration::from_millis(4));
+        assert_eq!(Ways::new(&Play::default().fleet), None);
+    }
+
+    #[test]
+    fn bytes_come_late_where_datagrams_are_lost() {
+        let (fleet, mut chance) = (fleet(), fastrand::Rng::with_seed(2));
+        let mut ways = Ways::new(&fleet).expect("told");
+        ways.each(None, None, |ways, a, b| ways.lost[a][b] = 0.3);
+        let late = (0..1000).filter(|_| ways.takes(0, 1, &mut chance).expect("comes") >= AGAIN).count();
+        let lost = (0..1000).filter(|_| ways.datagram(0, 1, &mut chance).is_none()).count();
+        assert!((240..360).contains(&late) && (240..360).contains(&lost), "{late} {lost}");
+    }
+}
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -61,6 +61,13 @@
         connection: u64,
         id: u64,
     },
+    /// A word that is to come back at once.
+    Noop {
+        connection: u64,
+        server: usize,
+        group: usize,
+        tag: String,
+    },
     Closed {
         connection: u64,
     },
@@ -108,12 +115,14 @@
 enum Order {
     Ask(Box<Asked>, usize),
     Quit(u64),
+    Noop(String),
 }
 
 fn order(line: &str) -> Option<Order> {
     let words: Vec<&str> = line.split(' ').collect();
     match words[..] {
         ["QUIT", id] => hex(id).map(Order::Quit),
+        ["NOOP", tag] if !tag.is_empty() && tag.len() <= 32 => Some(Order::Noop(tag.to_owned())),
         ["ASK", id, fields, length] => {
             let mut asked = Asked { id: hex(id)?, parent_keeps: true, ..Asked::default() };
             for (name, value) in fields.split(',').filter_map(|field| field.split_once('=')) {
@@ -242,6 +251,10 @@
                         Some(Order::Quit(id)) => {
                             if events.send(Event::Quit { connection, id }).await.is_err() { break 'open }
                         }
+                        Some(Order::Noop(tag)) => {
+                            let come = Event::Noop { connection, server, group, tag };
+                            if events.send(come).await.is_err() { break 'open }
+                        }
                         None => {
                             let what = format!("to server {server}: {}", String::from_utf8_lossy(&line));
                             let _ = events.send(Event::Nonsense { what }).await;
@@ -514,6 +527,7 @@
         assert_eq!((asked.source.as_deref(), asked.keep, asked.oldest_ms), (Some("p1"), 2, Some(500)));
         assert!(asked.only_held && asked.parent_keeps);
         assert!(matches!(order("QUIT 00000000000000a1"), Some(Order::Quit(0xa1))));
+        assert!(matches!(order("NOOP 7"), Some(Order::Noop(tag)) if tag == "7"));
         for wrong in ["ASK x - 0", "ASK a1 keep=9 0", "ASK a1 - 999999", "NOOP", ""] {
             assert!(order(wrong).is_none(), "{wrong}");
         }
--- a/crates/latency/src/model.rs
+++ b/crates/latency/src/model.rs
@@ -40,7 +40,7 @@
 pub const MATRIX_EVERY: Duration = Duration::from_secs(1);
 pub const ALIVE: Duration = Duration::from_secs(5);
 /// What is waited for an answer: longer is lost.
-pub const PATIENCE: Duration = Duration::from_millis(1500);
+pub const PATIENCE: Duration = Duration::from_millis(800);
 /// Edges in one word of the matrix, and what one takes.
 const CHUNK: usize = 32;
 const CELL: usize = 4;
--- a/crates/latency/src/steer.rs
+++ b/crates/latency/src/steer.rs
@@ -97,13 +97,22 @@
             next.push((offer.edge, before, if offer.room > 0.0 { target } else { 0.0 }));
         }
         // What leaves who takes nothing any more is free at once; what else moves, moves by the step.
-        let gone = |at: &usize| order[*at].room <= 0.0;
-        let freed: f64 = (0..next.len()).filter(gone).map(|at| next[at].1).sum();
+        let gone = |at: usize| order[at].room <= 0.0;
+        let freed: f64 = (0..next.len()).filter(|at| gone(*at)).map(|at| next[at].1).sum();
         let step = step + freed * AT_ONCE;
         for (at, (_, share, target)) in next.iter_mut().enumerate() {
-            *share = if gone(&at) { 0.0 } else { target.clamp(*share - step, *share + step) };
+            let fits = if demand > 0.0 { order[at].room / demand } else { 1.0 };
+            // Past its room it gives way though nobody else may take it yet.
+            let over = (*share - fits).clamp(0.0, step);
+            *share =
+                if gone(at) { 0.0 } else { *share - over + (*target - (*share - over)).clamp(0.0, step) };
+        }
+        // The rest is given up only as others take it, by who comes last in the order: nothing hangs between.
+        let mut many = next.iter().map(|(_, share, _)| share).sum::<f64>() - 1.0;
+        for (_, share, target) in next.iter_mut().rev() {
+            let gives = (*share - *target).clamp(0.0, many.max(0.0));
+            (*share, many) = (*share - gives, many - gives);
         }
-        // Nobody is placed twice: who comes last gives way.
         let mut sum = 0.0;
         for (_, share, _) in &mut next {
             *share = share.min(1.0 - sum);
@@ -187,6 +196,22 @@
         assert!(other < full, "what it had does not fall on the next one at once: {other}");
     }
 
+    #[test]
+    fn what_goes_back_is_held_by_somebody_all_the_way() {
+        let mut table = Table::default();
+        let all = [offer(0, 0.0, 200.0), offer(1, 5.0, 40.0), offer(2, 20.0, 40.0), offer(3, 30.0, 40.0)];
+        let away = |home: f64| [Offer { room: home, ..all[0] }, all[1], all[2], all[3]];
+        table.adopt(s(0.0), &[(0, 1.0)]);
+        (1..20).for_each(|n| table.turn(s(f64::from(n) * 0.25), 100.0, &away(0.0)));
+        assert_eq!(table.shares()[0], (0, 0.0));
+        for n in 20..40 {
+            table.turn(s(f64::from(n) * 0.25), 100.0, &away(if n < 24 { 30.0 } else { 200.0 }));
+            let sum: f64 = table.shares().iter().map(|(_, share)| share).sum();
+            assert!(sum > 0.999, "{sum} at {n}: {:?}", table.shares());
+        }
+        assert_eq!(table.shares()[0], (0, 1.0));
+    }
+
     /// The fastest edge grows slow by the very work that is sent to it, and everybody reads the same table.
     #[test]
     fn no_swing_though_what_is_sent_makes_an_edge_slow() {
--- a/crates/members/src/rumours.rs
+++ b/crates/members/src/rumours.rs
@@ -32,7 +32,7 @@
 const HURRY: Duration = Duration::from_millis(20);
 const HURRY_TO: usize = 2;
 const HURRY_ROUNDS: u32 = 2;
-const HURRIES_MOST: u32 = 16;
+const HURRIES_MOST: u32 = 8;
 /// Told on so many times more than log2 of the fleet: what loss of a third takes back.
 const MORE: u32 = 8;
 /// Words held in all, whatever the lanes allow; and mates that are chosen among.
@@ -190,6 +190,14 @@
     pub old: u64,
 }
 
+/// Rounds that are still to be told at once, from when, and whether anything of them is for other locations too.
+#[derive(Clone, Copy, Debug)]
+struct Hurry {
+    at: Duration,
+    rounds: u32,
+    far: bool,
+}
+
 pub struct Rumours {
     stand: Stand,
     lanes: Vec<Lane>,
@@ -198,9 +206,9 @@
     mates: BTreeMap<u16, Duration>,
     last: u32,
     next: Duration,
-    /// Since when hurries are counted, how many there were; when the next round is due, of how many.
+    /// Since when hurries are counted, how many there were; what is in a hurry now.
     hurries: (Duration, u32),
-    hurry: Option<(Duration, u32)>,
+    hurry: Option<Hurry>,
     chance: fastrand::Rng,
     /// Topics that have a newer word since they were last asked for.
     news: BTreeSet<Topic>,
@@ -243,24 +251,30 @@
         let place = self.stand.place;
         self.words.insert(topic, Word { place, version, body, told: now, urgent, passed_on: 0 });
         if urgent {
-            self.hurry_up(now);
+            self.hurry_up(now, kind);
         }
     }
 
-    fn hurry_up(&mut self, now: Duration) {
+    fn hurry_up(&mut self, now: Duration, kind: u8) {
+        let far = self.lane(kind).is_some_and(|lane| !lane.near);
+        if let Some(hurry) = &mut self.hurry {
+            (hurry.rounds, hurry.far) = (HURRY_ROUNDS, hurry.far || far);
+            return;
+        }
         if now >= self.hurries.0 + Duration::from_secs(1) {
             self.hurries = (now, 0);
         }
         // Past the bound it goes with the next period: a fault that comes and goes must not make a storm.
-        if self.hurries.1 < HURRIES_MOST && self.hurry.is_none() {
+        if self.hurries.1 < HURRIES_MOST {
             self.hurries.1 += 1;
-            self.hurry = Some((now + HURRY.mul_f64(self.chance.f64()), HURRY_ROUNDS));
+            let at = now + HURRY.mul_f64(self.chance.f64());
+            self.hurry = Some(Hurry { at, rounds: HURRY_ROUNDS, far });
         }
     }
 
     /// When [`Rumours::tick`] has something to do.
     pub fn next(&self) -> Duration {
-        self.hurry.map_or(self.next, |(at, _)| at.min(self.next))
+        self.hurry.map_or(self.next, |hurry| hurry.at.min(self.next))
     }
 
     /// A router that is known to be of this place by other ways, and was alive then.
@@ -307,11 +321,14 @@
 
     /// Tells on what was told least.
     pub fn tick(&mut self, now: Duration, mouth: &mut dyn Mouth) {
-        if let Some((_, rounds)) = self.hurry.filter(|(at, _)| now >= *at) {
-            self.hurry = (rounds > 1).then_some((now + HURRY, rounds - 1));
+        if let Some(hurry) = self.hurry.filter(|hurry| now >= hurry.at) {
+            let rounds = hurry.rounds - 1;
+            self.hurry = (rounds > 0).then_some(Hurry { at: now + HURRY, rounds, ..hurry });
             for _ in 0..HURRY_TO {
-                let to = self.any();
-                self.tell(now, to, true, mouth);
+                if hurry.far {
+                    let to = self.any();
+                    self.tell(now, to, true, mouth);
+                }
                 if let Some(mate) = self.any_mate() {
                     self.tell(now, mate, true, mouth);
                 }
@@ -444,7 +461,7 @@
         self.news.insert(topic);
         // Only what says something new is worth a hurry: the same again goes its usual way.
         if urgent && fresh {
-            self.hurry_up(now);
+            self.hurry_up(now, topic.kind);
         }
     }
 
--- a/crates/regions/src/decide.rs
+++ b/crates/regions/src/decide.rs
@@ -49,6 +49,9 @@
 /// Share of accesses that try a bad home: where words come back from it again, and where nobody has asked.
 const TRIAL: f64 = 1.0 / 8.0;
 const TRIAL_BLIND: f64 = 1.0 / 32.0;
+/// Of its capacity a location's room grows by so much in a second at most; it shrinks at once. What comes anew
+/// shows in its strain only a second later, and parts that go to and fro are fetched each time.
+const ROOM_GROWS: f64 = 0.15;
 /// Over this share of accesses not honoured in time a location has no room at all.
 const STRAIN_MOST: f64 = 0.10;
 /// What a router asks for is averaged over this.
@@ -102,6 +105,19 @@
     pub places: Vec<(bool, bool, f64, f64)>,
 }
 
+/// An edge as a front is shown it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Edge {
+    pub edge: usize,
+    /// Of this location's accesses, by the plan in force.
+    pub share: f64,
+    /// In transfers, for this location.
+    pub room: f64,
+    pub bad: bool,
+    pub way: Option<Estimate>,
+    pub leg: Option<Estimate>,
+}
+
 pub struct Regions {
     about: About,
     rumours: Rumours,
@@ -113,11 +129,16 @@
     strain: Counted,
     places: Vec<Place>,
     drained: Vec<bool>,
+    /// What each had room for when it was last reckoned, and when that was.
+    rooms: Vec<f64>,
+    reckoned: Option<Duration>,
     table: Table,
     number: u32,
     /// The last plan acted on, and whose it was.
     plan: Option<(Plan, u16)>,
     trial: f64,
+    /// Bad and drained, as told last.
+    told_of: (bool, bool),
     told: Duration,
     planned: Duration,
     turned: Duration,
@@ -146,10 +167,13 @@
             strain: Counted::default(),
             places: vec![Place::default(); places],
             drained: vec![false; places],
+            rooms: vec![0.0; places],
+            reckoned: None,
             table: Table::default(),
             number: 0,
             plan: None,
             trial: TRIAL_BLIND,
+            told_of: (false, false),
             told: now,
             planned: now,
             turned: now.saturating_sub(lag),
@@ -300,7 +324,9 @@
     }
 
     /// What this location may send to each, itself among them.
-    fn offers(&self, now: Duration, homes: &[Option<Home>]) -> Vec<Offer> {
+    fn offers(&self, now: Duration, homes: &[Option<Home>]) -> (Vec<Offer>, Vec<f64>) {
+        let since = self.reckoned.map_or(0.0, |at| now.saturating_sub(at).as_secs_f64());
+        let mut rooms = vec![0.0; self.places.len()];
         let own = usize::from(self.about.place);
         let bad = homes.iter().flatten().filter(|home| home.bad).count().max(1) as f64;
         let mut offers = Vec::new();
@@ -324,10 +350,14 @@
             let silent = way.is_some_and(|way| way.p50.is_none());
             let usable = self.about.abroad && !home.bad && !home.drained && !self.drained[edge] && !silent;
             let strain = 1.0 - (home.strain / STRAIN_MOST).min(1.0);
-            let room = (place.warm * FULL - home.demand).max(0.0) * strain / bad;
+            let room = (place.warm * FULL - home.demand).max(0.0) * strain;
+            let grown = self.rooms[edge] + ROOM_GROWS * place.capacity * since;
+            let room = room.min(if self.reckoned.is_some() { grown } else { room });
+            rooms[edge] = room;
+            let room = room / bad;
             offers.push(Offer { edge, way, room: if usable { room } else { 0.0 } });
         }
-        offers
+        (offers, rooms)
     }
 
     fn homes(&self, now: Duration) -> Vec<Option<Home>> {
@@ -368,7 +398,11 @@
                 let (good, bad) = self.seen.now(now);
                 let load = Load { demand: self.asks(now), good, bad };
                 self.rumours.say(now, LOAD, 0, load.encode(), urgent);
-                self.rumours.say(now, HOME, 0, self.own_home(now).encode(), urgent);
+                let home = self.own_home(now);
+                // All locations hear at once only of what turns.
+                let turned = std::mem::replace(&mut self.told_of, (home.bad, home.drained))
+                    != (home.bad, home.drained);
+                self.rumours.say(now, HOME, 0, home.encode(), turned);
                 for (kind, part, body) in self.model.words(now, &self.rumours) {
                     self.rumours.say(now, kind, part, body, false);
                 }
@@ -387,7 +421,8 @@
     fn plan(&mut self, now: Duration, urgent: bool) {
         let (homes, own) = (self.homes(now), usize::from(self.about.place));
         let demand = homes[own].map_or(0.0, |home| home.demand);
-        let offers = self.offers(now, &homes);
+        let (offers, rooms) = self.offers(now, &homes);
+        (self.rooms, self.reckoned) = (rooms, Some(now));
         let stays = self.all_bad(&homes) && !self.drained[own];
         let before: Vec<(usize, f64)> = self.table.shares().to_vec();
         if stays {
@@ -433,7 +468,11 @@
         let sum: f64 = plan.shares.iter().map(|(_, share)| share).sum();
         // What is told is rounded down.
         let left = 1.0 - sum - TAKERS_MOST as f64 / 255.0;
-        if left > 0.0 && self.worths.len() > WORTHS / 4 && worth < self.worths.quantile(left.min(0.999)) {
+        if left > 0.0
+            && self.health.is_bad()
+            && self.worths.len() > WORTHS / 4
+            && worth < self.worths.quantile(left.min(0.999))
+        {
             return Where::Nowhere;
         }
         if self.health.is_bad() && self.chance.f64() < self.trial {
@@ -450,9 +489,54 @@
         }
     }
 
+    /// The plan acted on; 0: none.
+    pub fn plan_number(&self) -> u32 {
+        self.plan.as_ref().map_or(0, |(plan, _)| plan.number)
+    }
+
+    pub fn plan_shares(&self) -> &[(usize, f64)] {
+        self.plan.as_ref().map_or(&[], |(plan, _)| &plan.shares)
+    }
+
+    pub fn is_bad(&self) -> bool {
+        self.health.is_bad()
+    }
+
+    /// For a front: where this region's clients are best taken in, the best first. By what clients' ways cost
+    /// where fronts have told, else by the ways from here; those with no room last.
+    pub fn steer(&self, now: Duration) -> Vec<Edge> {
+        let (homes, own) = (self.homes(now), usize::from(self.about.place));
+        let (offers, _) = self.offers(now, &homes);
+        let edge = |edge: usize| {
+            let room = offers.iter().find(|o| o.edge == edge).map_or(0.0, |o| o.room);
+            let home = self.plan.is_none() && edge == own && !self.health.is_bad();
+            let planned = self.plan_shares().iter().find(|(e, _)| *e == edge).map(|(_, share)| *share);
+            Edge {
+                edge,
+                share: planned.unwrap_or(f64::from(u8::from(home))),
+                room,
+                bad: homes[edge].is_some_and(|home| home.bad),
+                way: self.model.way(now, &self.rumours, edge),
+                leg: self.model.leg(now, &self.rumours, edge),
+            }
+        };
+        let mut edges: Vec<Edge> = (0..self.about.places).map(edge).collect();
+        let cost = |edge: &Edge| {
+            let leg = edge.leg.and_then(|leg| leg.p50).unwrap_or(Duration::ZERO);
+            let way = edge.way.and_then(|way| way.p50).unwrap_or(if edge.edge == own {
+                Duration::ZERO
+            } else {
+                Duration::MAX
+            });
+            if edge.leg.is_some() { leg } else { way }
+        };
+        edges.sort_by_key(|edge| (edge.room <= 0.0, cost(edge), edge.edge));
+        edges
+    }
+
     pub fn report(&self, now: Duration) -> Report {
         let homes = self.homes(now);
-        let offers = self.offers(now, &homes);
+        let (offers, _) = self.offers(now, &homes);
         let own = usize::from(self.about.place);
         let room = |edge: usize| offers.iter().find(|o| o.edge == edge).map_or(0.0, |o| o.room);
         let of = |(place, home): (usize, &Option<Home>)| {
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -1,5 +1,6 @@
 //! Owns the decisions: hands them what happens, and does what they order. Nothing is decided here.
 
+use crate::abroad::Abroad;
 use crate::brief::Brief;
 use crate::clock::Clock;
 use crate::confined::Confined;
@@ -54,12 +55,14 @@
     passed: Passed,
     /// It must not run twice.
     once: bool,
+    begun: Duration,
     executions: Vec<Execution>,
 }
 
 struct Execution {
     /// None: the list does not hold it.
     server: Option<mpsc::Sender<Order>>,
+    at: Id,
     sent: Duration,
     open: bool,
 }
@@ -81,6 +84,8 @@
     /// when all is back.
     ends: VecDeque<Ended>,
     answered: Vec<Id>,
+    /// Of clients' accesses: category, when it came, and whether it was honoured.
+    finals: Vec<(usize, Duration, bool)>,
     own: Option<Own>,
     /// What is told to the other routers of the location, and how it gets to them.
     talk: Option<(Talk, Saying)>,
@@ -103,6 +108,10 @@
         let Some(taken) = self.accesses.get_mut(id) else { return false };
         let Some(to) = taken.client.take() else { return false };
         let bytes = if let Last::Honoured { body, .. } = &last { body.len() } else { 0 };
+        if let To::Client(_) = to {
+            let honoured = matches!(last, Last::Honoured { .. } | Last::Unchanged { .. });
+            self.finals.push((taken.arrival.category, taken.begun, honoured));
+        }
         // A client has no more accesses open than its mailbox holds; where it fails, the client has gone.
         let reply =
             |client: mpsc::Sender<Reply>| client.try_send(Reply { tag: taken.tag, id: id.clone(), last });
@@ -125,7 +134,7 @@
             if let Some((outcome, answer)) = got {
                 self.ends.push_back(Ended { key, outcome, answer });
             }
-            taken.executions.push(Execution { server: None, sent: self.now, open: true });
+            taken.executions.push(Execution { server: None, at: server.clone(), sent: self.now, open: true });
             self.out += 1;
             return;
         }
@@ -145,7 +154,7 @@
                 .log(&format!("an execution for {server}, which is not listed or takes no more orders"));
             self.ends.push_back(Ended { key, outcome: Outcome::NeverSent, answer: None });
         }
-        taken.executions.push(Execution { server: post, sent: self.now, open: true });
+        taken.executions.push(Execution { server: post, at: server.clone(), sent: self.now, open: true });
         self.out += 1;
     }
 
@@ -201,6 +210,7 @@
     pub own: Option<Own>,
     pub confined: Option<Confined>,
     pub talk: Option<(Talk, Saying)>,
+    pub abroad: Option<Abroad>,
 }
 
 pub struct Decider {
@@ -209,6 +219,8 @@
     /// Places of own copies, until they have gone to the decisions with the first list.
     places: Vec<Member>,
     confined: Option<Confined>,
+    /// What is decided in common with the routers of all locations.
+    abroad: Option<Abroad>,
     warm_within: Duration,
     limits: Limits,
     /// By category: whether its accesses must not run twice.
@@ -233,7 +245,7 @@
         messages: mpsc::Sender<Message>,
         beside: Beside,
     ) -> Decider {
-        let Beside { own, confined, talk } = beside;
+        let Beside { own, confined, talk, abroad } = beside;
         let now = clock.now();
         let places = own.as_ref().map(Own::members).unwrap_or_default();
         let mut desk = Desk {
@@ -244,6 +256,7 @@
             timers: BinaryHeap::new(),
             ends: VecDeque::new(),
             answered: Vec::new(),
+            finals: Vec::new(),
             own,
             talk,
             brought: None,
@@ -259,6 +272,7 @@
             desk,
             places,
             confined,
+            abroad,
             warm_within: deployment.cold_cache.warm_within,
             once: deployment.categories.iter().map(|c| c.effect == Effect::Unrepeatable).collect(),
             bodies_most: limits.memory as f64 / 2.0,
@@ -291,6 +305,7 @@
             let due = self.desk.timers.peek().map(|Reverse((at, _))| *at);
             let own = self.desk.own.as_ref().and_then(|own| own.next_look(self.desk.now));
             let talk = self.desk.talk.as_ref().map(|(talk, _)| talk.next());
+            let talk = talk.into_iter().chain(self.abroad.as_ref().map(Abroad::next));
             let look = due.into_iter().chain(phase.next_look(self.desk.now)).chain(own).chain(talk).min();
             let look = look.unwrap_or(Duration::MAX).min(self.desk.now + LOOK_EVERY);
             due_at = look;
@@ -369,7 +384,15 @@
             Message::Written(bytes) => self.desk.in_hand = self.desk.in_hand.saturating_sub(bytes),
             Message::Ended(ended) => self.ended(ended),
             Message::Disk(end) => self.disk(end),
+            Message::Way(edge, way) => {
+                self.abroad.iter_mut().for_each(|abroad| abroad.way(self.desk.now, edge, way));
+            }
             Message::Peer(from, bytes) => {
+                if let Some(abroad) = &mut self.abroad
+                    && abroad.heard(self.desk.now, from, &bytes)
+                {
+                    return;
+                }
                 let Some((talk, _)) = &mut self.desk.talk else { return };
                 talk.heard(self.desk.now, from, &bytes, &mut self.router);
             }
@@ -412,9 +435,14 @@
             // The client is told to come back when its tenant may, as far as it heeds that.
             return refuse(Last::Declined(self.longest_advice.map(|longest| wait.min(longest))));
         }
+        if let Some(abroad) = &mut self.abroad
+            && abroad.access(self.desk.now, &mut arrival).is_err()
+        {
+            return refuse(Last::Declined(self.router.advice));
+        }
         let (executions, kept) = (Vec::new(), arrival.clone());
         let client = Some(To::Client(client));
-        let taken = Taken { client, tag, arrival: kept, passed, once, executions };
+        let taken = Taken { client, tag, arrival: kept, passed, once, begun: self.desk.now, executions };
         self.desk.accesses.insert(arrival.id.clone(), taken);
         self.router.access(self.desk.now, arrival, &mut self.desk);
     }
@@ -466,6 +494,10 @@
             confined.ended(desk.now, &taken.arrival, told.outcome, told.remark);
         }
         told.over = desk.accesses.get(&id).is_some_and(|taken| taken.client.is_none());
+        if let (true, Some(abroad), Some(taken)) = (by_server, &mut self.abroad, desk.accesses.get(&id)) {
+            let server = taken.executions.get(n).and_then(|execution| self.router.member(&execution.at));
+            abroad.ended(desk.now, server, told.outcome, told.remark);
+        }
         desk.answered.push(id.clone());
         self.router.result(desk.now, &id, n, &told, desk);
         desk.brought = None;
@@ -484,8 +516,18 @@
         }
     }
 
-    fn say(&self, words: &[String]) -> Value {
+    fn say(&mut self, words: &[String]) -> Value {
         let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        let now = self.desk.now;
+        if let (["regions" | "steer" | "latency", ..], None) = (words.as_slice(), &self.abroad) {
+            return json!({"error": "regions in common are off"});
+        }
+        match (words.as_slice(), &mut self.abroad) {
+            (["regions", "stat"], Some(abroad)) => return abroad.report(now),
+            (["steer", "show"], Some(abroad)) => return abroad.steer(now),
+            (["latency", "observe", rest @ ..], Some(abroad)) => return abroad.observe(now, rest),
+            _ => {}
+        }
         match (words.as_slice(), &self.desk.own) {
             (["store", "stat"], Some(own)) => own.report(),
             (["cells", "stat"], _) => match &self.confined {
@@ -519,11 +561,16 @@
         {
             talk.tick(self.desk.now, saying, &mut self.router);
         }
+        if let Some(abroad) = self.abroad.as_mut().filter(|abroad| self.desk.now >= abroad.next()) {
+            let posts = &self.desk.posts;
+            abroad.tick(self.desk.now, &self.router, |server| posts.get(server).map(|post| post.dial));
+        }
         let Some(own) = &mut self.desk.own else { return };
         own.tick(late);
         for (arrival, passed) in own.asks() {
             let (client, kept, executions) = (Some(To::Store), arrival.clone(), Vec::new());
-            let taken = Taken { client, tag: 0, arrival: kept, passed, once: false, executions };
+            let begun = self.desk.now;
+            let taken = Taken { client, tag: 0, arrival: kept, passed, once: false, begun, executions };
             self.desk.accesses.insert(arrival.id.clone(), taken);
             self.router.access(self.desk.now, arrival, &mut self.desk);
             self.settle();
@@ -535,6 +582,9 @@
         while let Some(ended) = self.desk.ends.pop_front() {
             self.ended(ended);
         }
+        for (category, begun, honoured) in self.desk.finals.drain(..) {
+            self.abroad.iter_mut().for_each(|a| a.answered(self.desk.now, category, begun, honoured));
+        }
         for id in std::mem::take(&mut self.desk.answered) {
             let over = |taken: &Taken| taken.client.is_none() && taken.executions.iter().all(|e| !e.open);
             if self.desk.accesses.get(&id).is_some_and(over) {
@@ -546,6 +596,7 @@
     pub fn notice(&mut self, notice: Notice) {
         let now = self.desk.clock.now();
         match notice {
+            Notice::Drained(places) => self.abroad.iter_mut().for_each(|abroad| abroad.drain(&places)),
             Notice::Cells(plan) => {
                 let (Some(confined), epoch) = (&mut self.confined, plan.epoch()) else { return };
                 match confined.renew(now, *plan) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! One router on real sockets. Every decision is `chalkhall::control`'s; `serve` runs it.
 
+mod abroad;
 mod board;
 mod brief;
 mod client;
@@ -16,10 +17,12 @@
 pub mod own;
 mod peers;
 mod phase;
+mod probes;
 mod resp;
 mod server;
 mod told;
 
+use abroad::Abroad;
 use board::{Anew, Board};
 use chalkhall_directives::Told as Directives;
 use chalkhall_members::{About, Talk};
@@ -94,11 +97,21 @@
     });
     let (saying, sayings) = peers::saying();
     let socket_of_peers = match &told.peers {
-        Some(peers) if talk.is_some() => peers::bind(peers).await,
+        Some(peers) if talk.is_some() || directives.regions.in_common => peers::bind(peers).await,
         _ => None,
     };
-    let talk = talk.filter(|_| socket_of_peers.is_some()).map(|talk| (talk, saying));
-    let beside = Beside { own, confined, talk };
+    if directives.regions.in_common && socket_of_peers.is_none() {
+        log::warn!("regions: the platform lets routers not talk; each decides by what it sees itself");
+    }
+    let talk = talk.filter(|_| socket_of_peers.is_some()).map(|talk| (talk, saying.clone()));
+    let (probes, to_probe) = mpsc::channel(probes::PROBES_MOST);
+    let abroad = match socket_of_peers {
+        Some(_) => {
+            Abroad::new(clock.now(), &directives.regions, deployment, &told.places.locations, saying, probes)?
+        }
+        None => None,
+    };
+    let beside = Beside { own, confined, talk, abroad };
     let mut decisions = Decider::start(clock, deployment, limits, phase_of, decider.clone(), beside);
     // The list comes before the first access.
     let known = std::mem::take(&mut told.known).into_iter().filter_map(|(_, notice)| notice);
@@ -129,6 +142,7 @@
     if let Some((socket, peers)) = socket_of_peers.zip(told.peers.clone()) {
         spawn_local(peers::run(socket, peers, sayings, decider.clone()));
     }
+    spawn_local(probes::run(to_probe, decider.clone()));
     if let Some(questions) = questions {
         spawn_local(control_socket::run(questions, decider.clone()));
     }
@@ -191,13 +205,18 @@
         let _ = self.board.send(Anew { address: anew.board, known }).await;
     }
 
-    /// Of the operator's file the map of cells is taken over; all else needs a restart.
+    /// Of the operator's file the map of cells and the drained locations are taken over; all else needs a
+    /// restart.
     async fn directives(&self) {
         let Some(file) = &self.file else { return };
         let (directives, faults) = chalkhall_directives::read(file);
         if let Some(fault) = faults.first() {
             return log::warn!("the operator's file is not taken over: {fault} ({} faults)", faults.len());
         }
+        match abroad::places(&self.told.places.locations, &directives.regions.drained) {
+            Ok(drained) => drop(self.cells.send(Notice::Drained(drained)).await),
+            Err(what) => log::warn!("the operator's file is not taken over: {what}"),
+        }
         if directives.cells.cells.is_empty() {
             return;
         }
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -22,6 +22,8 @@
     Disk(End),
     /// A datagram from the router of this number.
     Peer(u64, Box<[u8]>),
+    /// A word to an edge came back after so long; none: it did not.
+    Way(usize, Option<Duration>),
     /// An operator asks.
     Question(Question),
     Stop,
--- a/crates/router/src/notices.rs
+++ b/crates/router/src/notices.rs
@@ -17,6 +17,8 @@
 
 #[derive(Debug)]
 pub enum Notice {
+    /// By SIGHUP: these locations are emptied.
+    Drained(Vec<usize>),
     List {
         whole: bool,
         members: Vec<(Member, SocketAddr)>,
--- a/crates/router/src/own.rs
+++ b/crates/router/src/own.rs
@@ -269,6 +269,7 @@
                 part: copy.part,
                 group: copy.group,
                 kb: copy.kb,
+                at: None,
                 cell: None,
                 left: self.categories[category].1.hard_limit,
                 repeated: true,
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -17,6 +17,7 @@
 const MOST: usize = 256;
 
 /// What is to be said, for the socket's actor.
+#[derive(Clone)]
 pub struct Saying(mpsc::Sender<(To, Vec<u8>)>);
 
 impl Mouth for Saying {
--- /dev/null
+++ b/crates/router/src/probes.rs
@@ -0,0 +1,129 @@
+//! Measures ways: a word to a cache server and back, over connections of its own, each with one word out at a
+//! time. What does not come back within the model's patience is reported as lost; a connection that broke or
+//! fell silent is opened anew for the next word. Nothing waits for it, and what comes too fast is not measured.
+
+use crate::messages::Message;
+use chalkhall_latency::model::PATIENCE;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::{Instant, timeout};
+
+/// A word that is to be sent to a cache server of an edge.
+#[derive(Clone, Copy, Debug)]
+pub struct Probe {
+    pub edge: usize,
+    pub dial: SocketAddr,
+}
+
+/// Probes on their way to the actor; more are not made.
+pub const PROBES_MOST: usize = 128;
+/// Connections at once; one that carried nothing for so long is closed.
+const CONNECTIONS_MOST: usize = 64;
+const IDLE: Duration = Duration::from_secs(3);
+const LINE_MOST: u64 = 512;
+
+/// Ends with the decider.
+pub async fn run(mut probes: mpsc::Receiver<Probe>, decider: mpsc::Sender<Message>) {
+    let mut ways: HashMap<SocketAddr, mpsc::Sender<usize>> = HashMap::new();
+    while let Some(Probe { edge, dial }) = probes.recv().await {
+        ways.retain(|_, way| !way.is_closed());
+        if ways.len() >= CONNECTIONS_MOST && !ways.contains_key(&dial) {
+            continue;
+        }
+        let way = ways.entry(dial).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(1);
+            spawn_local(measure(dial, receiver, decider.clone()));
+            sender
+        });
+        let _ = way.try_send(edge);
+    }
+}
+
+async fn measure(dial: SocketAddr, mut edges: mpsc::Receiver<usize>, decider: mpsc::Sender<Message>) {
+    let (mut stream, mut tag) = (None, 0u64);
+    while let Ok(Some(edge)) = timeout(IDLE, edges.recv()).await {
+        tag += 1;
+        let way = match timeout(PATIENCE, word(dial, &mut stream, tag)).await {
+            Ok(Ok(way)) => Some(way),
+            // Refused, broken or silent: nothing came back.
+            _ => {
+                stream = None;
+                None
+            }
+        };
+        if decider.send(Message::Way(edge, way)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn word(
+    dial: SocketAddr,
+    stream: &mut Option<BufReader<TcpStream>>,
+    tag: u64,
+) -> std::io::Result<Duration> {
+    if stream.is_none() {
+        let made = TcpStream::connect(dial).await?;
+        made.set_nodelay(true)?;
+        *stream = Some(BufReader::new(made));
+    }
+    let Some(stream) = stream else { return Err(std::io::ErrorKind::NotConnected.into()) };
+    let (sent, tag) = (Instant::now(), tag.to_string());
+    stream.get_mut().write_all(format!("NOOP {tag}\r\n").as_bytes()).await?;
+    loop {
+        let mut line = String::new();
+        let read = tokio::io::AsyncReadExt::take(&mut *stream, LINE_MOST).read_line(&mut line).await?;
+        if read == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        // Between answers there are empty lines.
+        if line.split_whitespace().next() == Some(tag.as_str()) {
+            return Ok(sent.elapsed());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    #[test]
+    fn what_comes_back_is_measured_and_what_does_not_is_lost() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let (decider, mut messages) = mpsc::channel(8);
+            let (probes, receiver) = mpsc::channel(8);
+            spawn_local(run(receiver, decider));
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let dial = listener.local_addr().unwrap();
+            let shut = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let nobody = shut.local_addr().unwrap();
+            drop(shut);
+            probes.send(Probe { edge: 3, dial }).await.unwrap();
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut stream = BufReader::new(stream);
+            let mut line = String::new();
+            stream.read_line(&mut line).await.unwrap();
+            assert_eq!(line, "NOOP 1\r\n");
+            stream.get_mut().write_all(b"9 UP - 0\r\n\r\n1 UP - 0\r\n\r\n").await.unwrap();
+            assert!(matches!(messages.recv().await, Some(Message::Way(3, Some(_)))));
+            // The connection is used again; where it breaks the word is lost, and the next one opens another.
+            probes.send(Probe { edge: 3, dial }).await.unwrap();
+            line.clear();
+            stream.read_line(&mut line).await.unwrap();
+            assert_eq!(line, "NOOP 2\r\n");
+            drop(stream);
+            assert!(matches!(messages.recv().await, Some(Message::Way(3, None))));
+            probes.send(Probe { edge: 4, dial: nobody }).await.unwrap();
+            assert!(matches!(messages.recv().await, Some(Message::Way(4, None))));
+            probes.send(Probe { edge: 3, dial }).await.unwrap();
+            assert!(listener.accept().await.is_ok());
+        });
+    }
+}
--- a/src/control.rs
+++ b/src/control.rs
@@ -329,10 +329,18 @@
         seen.held = Some((cache, now));
     }
 
+    /// All that the list tells of and is not gone.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.servers.values().map(|s| &s.member)
+    }
+
+    pub fn member(&self, server: &Id) -> Option<&Member> {
+        self.servers.get(server).map(|s| &s.member)
+    }
+
     /// The caches of its location that are not gone.
     pub fn caches(&self) -> impl Iterator<Item = &Member> {
-        let here = |m: &&Member| m.tier == Tier::Cache && m.location == self.location;
-        self.servers.values().map(|s| &s.member).filter(here)
+        self.members().filter(|m| m.tier == Tier::Cache && m.location == self.location)
     }
 
     /// A cache is to draw that much more or less, as its location's routers agree.
@@ -492,13 +500,14 @@
     }
 
     /// The first that the hash prefers, moving on when one fails, is full or is crowded; `any`: also one set
-    /// aside. Each member draws its own number for an object: one that fails moves its own objects only.
+    /// aside. Each member draws its own number for a part: one that fails moves its own parts only.
     fn pick(&self, now: Duration, tier: Tier, any: bool, access: &Access) -> Option<&Server> {
         let part = access.arrival.part;
         let weight = |s: &Server| s.member.capacity * s.lean.exp();
         let draw = |s: &Server| draw(&s.member.server, &access.arrival.object, part, weight(s));
         let of_cell = |s: &Server| access.arrival.cell.is_none_or(|cell| s.member.cells.contains(&cell));
-        let here = |s: &Server| s.member.location == self.location && of_cell(s);
+        let at = access.arrival.at.unwrap_or(self.location);
+        let here = |s: &Server| s.member.location == at && of_cell(s);
         let near = |s: &Server| s.member.tier == tier && (tier != Tier::Cache || here(s));
         let members = self.servers.values().filter(|s| near(s) && self.may_take(now, s, access));
         let mut open: Vec<_> = members.map(|s| (draw(s), s)).collect();
@@ -566,6 +575,8 @@
         }
         let Some((cold, sharing)) = self.cold.get(server.member.tier as usize) else { return true };
         let Some(age) = server.member.started.map(|at| now.saturating_sub(at)) else { return true };
+        // What its own location's routers send to a cold cache elsewhere is not known here.
+        let elsewhere = server.member.tier == Tier::Cache && server.member.location != self.location;
         // What an earlier life of this router sent is not known to it.
         let known = now >= self.started + cold.span;
         let warm = (age.as_secs_f64() / cold.warm_within.as_secs_f64()).min(1.0);
@@ -580,7 +591,7 @@
             let hash = xxh3_64_with_seed(server.member.server.as_bytes(), spans << 16 ^ self.number);
             weight <= bears / 8.0 && (hash as f64) < (share - sent) / weight * 2f64.powi(64)
         };
-        age >= cold.warm_within + cold.span || known && (sent + weight <= share || drawn())
+        age >= cold.warm_within + cold.span || known && !elsewhere && (sent + weight <= share || drawn())
     }
 
     fn weight(&self, server: &Server, access: &Access) -> f64 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -198,6 +198,8 @@
     pub kb: f64,
     /// The cell it belongs to: only caches of that cell are asked for it; none: all are.
     pub cell: Option<u32>,
+    /// The location among whose caches it is drawn; none: the router's own. It keeps it for all its executions.
+    pub at: Option<usize>,
     /// The client's own time.
     pub left: Duration,
     /// The client says that it asks again.
