--- a/crates/cli/tests/fleet.rs
+++ b/crates/cli/tests/fleet.rs
@@ -102,6 +102,58 @@
     assert!(told["events"].as_array().is_some_and(|events| events.len() > 15), "{told}");
 }
 
+/// Two regions of two locations, of which one is lost for 3 s while ways between the regions lose a fifth.
+fn location_lost(in_common: &str) -> Value {
+    let play_text = format!(
+        "fleet {{
+    routers 40
+    locations 4
+    caches 16
+    parents 4
+    warm-within 3s
+    regions 2
+    near 2ms
+    far 20ms
+    pass-through off
+    directive peers tell on
+    directive regions in-common {in_common}
+    directive regions measure on
+    directive regions abroad on
+}}
+work {{
+    seconds 14
+    lead 3s
+    rate 240
+    writes 5%
+}}
+faults {{
+    at 3s for 9s ways 1 2 lose 20%
+    at 3s for 9s ways 2 1 lose 20%
+    at 5s for 3s lose location 1
+    at 6s for 1s kill routers 1/10
+}}
+"
+    );
+    let file = File::new(&format!("location-lost-{in_common}"), &play_text);
+    let output = play(&file, &["--json", "--seed", "2"]);
+    let told: Value = serde_json::from_slice(&output.stdout).unwrap_or_else(|_| panic!("{}", text(&output)));
+    assert!(output.status.success(), "{}", text(&output));
+    told["figures"].clone()
+}
+
+#[test]
+fn a_lost_location_is_served_elsewhere_by_common_decision_and_nobody_else_leaves_home() {
+    let (with, without) = (location_lost("on"), location_lost("off"));
+    let figure = |of: &Value, name: &str| of[name].as_f64().unwrap_or_else(|| panic!("no {name}: {of}"));
+    let (served, today) = (figure(&with, "lost_service"), figure(&without, "lost_service"));
+    let limit = figure(&with, "lost_limit");
+    // Two thirds of the way from a router that decides alone to one that sees all.
+    assert!(served >= today + (limit - today) * 2.0 / 3.0, "{served}: alone {today}, at most {limit}");
+    assert!(figure(&with, "plan_s") <= 2.0, "{with}");
+    assert!(figure(&with, "toppled") == 0.0 && figure(&with, "needless") <= 0.05, "{with}");
+    assert!(figure(&without, "abroad") == 0.0 && today < 0.7, "{without}");
+}
+
 #[test]
 fn even_work_lies_even_and_a_page_tells_it() {
     let file =
