--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -8,7 +8,8 @@
 #[derive(Parser)]
 #[command(name = "chalkhall", version, about, max_term_width = 110)]
 #[command(
-    after_help = "Exit codes: 0 done; 1 it could not be done, or faults were found; 2 arguments that make no sense.
+    after_help = "Exit codes: 0 done; 1 it could not be done, or faults were found; 2 arguments that make no
+sense.
 
 Examples:
   chalkhall check deploy/chalkhall.conf
@@ -56,6 +57,9 @@
     /// Peers: what a live router tells its mates, and hears
     #[command(subcommand)]
     Peers(Peers),
+    /// Regions: how a live router's location and the others are, and where its accesses go
+    #[command(subcommand)]
+    Regions(Regions),
     /// Cells: what a map makes of a list of servers, before a router takes it over
     #[command(subcommand)]
     Cells(Cells),
@@ -92,6 +96,45 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum Regions {
+    /// Tells what is held of each location, and the plan in force
+    #[command(after_help = "Exit codes: 0 done; 1 the router does not answer, or regions in common are off.
+
+Example: chalkhall regions stat --socket /run/chalkhall/control.sock")]
+    Stat {
+        /// The router's control socket
+        #[arg(long)]
+        socket: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Tells, best first, which edges are to take this region's clients: for a front
+    Steer {
+        /// The router's control socket
+        #[arg(long)]
+        socket: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Tells a router what a front has measured of its clients' way to an edge
+    #[command(after_help = "Example: chalkhall regions observe north oslo 41.5 20 --socket control.sock")]
+    Observe {
+        /// The router's own region or location
+        region: String,
+        /// The location to which it was measured
+        edge: String,
+        ms: f64,
+        /// How many measurements it stands for
+        #[arg(default_value_t = 1)]
+        count: u32,
+        #[arg(long)]
+        socket: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum Cells {
     /// Tells a live router's cells, and where its moves stand
@@ -105,8 +148,8 @@
     },
     /// Tells which tenants to move so that no cell is asked for more than it bears
     #[command(after_help = "FILE holds {\"cells\":[{\"name\":..,\"capacity\":..,\"cold\":0.3}],
-\"tenants\":[{\"name\":..,\"load\":..,\"fill_kb\":..,\"cell\":..}]}: capacity and load in one unit, cold the share of
-its capacity that a cell takes anew at once, fill_kb what a tenant costs to be filled anew.
+\"tenants\":[{\"name\":..,\"load\":..,\"fill_kb\":..,\"cell\":..}]}: capacity and load in one unit, cold
+the share of its capacity that a cell takes anew at once, fill_kb what a tenant costs to be filled anew.
 
 Exit codes: 0 a plan; 1 some that should move find no room now.
 
@@ -125,11 +168,10 @@
         json: bool,
     },
     /// Draws the map of an operator's file and tells every fault of it
-    #[command(
-        after_help = "Exit codes: 0 no fault; 1 faults: of the file, or cells with too few servers, or servers in none.
+    #[command(after_help = "Exit codes: 0 no fault; 1 faults: of the file, or cells with too few servers, or
+servers in none.
 
-Example: chalkhall cells check deploy/chalkhall.conf --config docs/example.json"
-    )]
+Example: chalkhall cells check deploy/chalkhall.conf --config docs/example.json")]
     Check {
         #[arg(value_name = "FILE")]
         file: PathBuf,
@@ -177,9 +219,7 @@
         files: Vec<PathBuf>,
     },
     /// Plays a file once as it is and once for each other directive or program, on the same seed
-    #[command(
-        after_help = "Example: chalkhall fleet compare zone.play --with 'peers tell off' --with 'peers lend on'"
-    )]
+    #[command(after_help = "Example: chalkhall fleet compare zone.play --with 'peers tell off' --plays 3")]
     Compare {
         #[arg(value_name = "FILE")]
         file: PathBuf,
@@ -244,8 +284,8 @@
     },
     /// Lists every part on disk
     #[command(
-        after_help = "One part a line: object, part, group, rank, bytes, when it was made (Unix ms), tag, where,
-and `purged` or `older` where it would not be served."
+        after_help = "One part a line: object, part, group, rank, bytes, when it was made (Unix ms), tag,
+where, and `purged` or `older` where it would not be served."
     )]
     List {
         #[command(flatten)]
@@ -296,7 +336,8 @@
     },
     /// Kills a writing process again and again and looks for anything torn, stale or lost
     #[command(
-        after_help = "The directory must be empty or left by an earlier torture: never name one that is in use.
+        after_help = "The directory must be empty or left by an earlier torture: never name one that is in
+use.
 Exit codes: 0 nothing was found; 1 something was. The seed that is printed plays the same writes again.
 
 Example: chalkhall store torture /tmp/torture --kills 100 --seed 7"
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,6 @@
 //! `chalkhall`: every command of an operator.
 
-use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Fleet, Peers, Store};
+use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Fleet, Peers, Regions, Store};
 use chalkhall_cli::{Failure, cells, check, fleet, store, torture};
 use clap::{CommandFactory, Parser};
 use std::path::{Path, PathBuf};
@@ -16,6 +16,11 @@
         }
         Command::Store(command) => of_store(command),
         Command::Peers(Peers::Stat { socket, json }) => store::ask_live(&socket, "peers stat", json),
+        Command::Regions(Regions::Stat { socket, json }) => store::ask_live(&socket, "regions stat", json),
+        Command::Regions(Regions::Steer { socket, json }) => store::ask_live(&socket, "steer show", json),
+        Command::Regions(Regions::Observe { region, edge, ms, count, socket, json }) => {
+            store::ask_live(&socket, &format!("latency observe {region} {edge} {ms} {count}"), json)
+        }
         Command::Cells(Cells::Stat { socket, json }) => store::ask_live(&socket, "cells stat", json),
         Command::Cells(Cells::Plan { file, most, why, json }) => cells::plan_moves(&file, &most, why, json),
         Command::Cells(Cells::Check { file, servers, config, json }) => {
--- a/crates/fleet/src/places.rs
+++ b/crates/fleet/src/places.rs
@@ -2,11 +2,11 @@
 //!
 //! | figure | what |
 //! | --- | --- |
-//! | `lost_service` | of what lost locations asked for, from the loss until five seconds after the return, earned |
-//! | `lost_limit` | the same for one that sees all: what home, and the room that others truly had, could serve |
+//! | `lost_service` | of what lost locations asked for, earned: from the loss until 5 s after the return |
+//! | `lost_limit` | the same for one that sees all: what home and others' true room could serve |
 //! | `plan_s` | from a loss until four in five of its accesses at caches go to other locations, the worst |
 //! | `needless` | share of accesses that left a location whose caches were all there and warm |
-//! | `toppled` | seconds of locations that were not lost in which under half of what they asked for was earned |
+//! | `toppled` | seconds in which a location not lost earned under half of what it asked for |
 
 use crate::even::Place;
 use crate::play::{Play, What, Whom};
@@ -121,8 +121,8 @@
     }
 }
 
-/// Share of a location's accesses that what is there could serve: its own caches, and of others' what they have
-/// over their own clients' work, divided among all that are lost.
+/// Share of a location's accesses that what is there could serve: its own caches, and of others' what they
+/// have over their own clients' work, divided among all that are lost.
 fn seen_by_one_that_sees_all(
     play: &Play,
     places: &[Place],
@@ -159,6 +159,7 @@
         let mut play = Play::default();
         play.work.lasts = s(10);
         play.work.lead = s(0);
+        play.work.rate = 60.0;
         play.faults.push(Fault { at: s(2), lasts: s(2), what: What::Lose(Whom::Location(1)) });
         let place = |location: usize| Place {
             name: format!("c{location}"),
@@ -184,13 +185,6 @@
         }
         let found = kept.measure(&play, &sent, &places);
         assert!((found.lost_service - 6.0 / 7.0).abs() < 1e-9, "{found:?}");
-        assert_eq!(
-            found.plan,
-            Some(Duration::from_secs(1))
-                .map(|plan| plan - Duration::from_millis(60))
-                .filter(|_| false)
-                .or(found.plan)
-        );
         assert!(
             found.plan.is_some_and(|plan| plan > Duration::from_millis(700) && plan <= s(1)),
             "{found:?}"
--- a/crates/fleet/src/ways.rs
+++ b/crates/fleet/src/ways.rs
@@ -1,9 +1,9 @@
 //! The network between locations as it truly is: what a word takes from one to another, whether it comes at
 //! all, changing as a play says. Each way by itself, both directions apart. No I/O.
 //!
-//! Bytes on a connection are never lost: a loss costs them [`AGAIN`], as a segment that is sent again, and a cut
-//! holds them until it is over. Datagrams are lost. The parents and the origin stand at a place of their own,
-//! as near to each location as locations of one region are.
+//! Bytes on a connection are never lost: a loss costs them [`AGAIN`], as a segment that is sent again, and a
+//! cut holds them until it is over. Datagrams are lost. The parents and the origin stand at a place of their
+//! own, as near to each location as locations of one region are.
 
 use crate::play::FleetOf;
 use std::time::Duration;
--- a/crates/latency/src/model.rs
+++ b/crates/latency/src/model.rs
@@ -7,10 +7,10 @@
 //! so that everybody knows the whole matrix and no single one can bend it.
 //!
 //! **Explored within a budget.** A way is measured by the [`MEASURERS`] routers of the location that draw the
-//! least number for it by hash, of those that gave a sign of life lately, each at [`EVERY`]: what it costs does
-//! not grow with the location, and nobody has to be told who measures. Who hears nobody measures all. Drawn
-//! anew by time (tried first) a way was now and then measured by none for seconds, and those who had just
-//! ceased told what had been.
+//! least number for it by hash, of those that gave a sign of life lately, each at [`EVERY`]: what it costs
+//! does not grow with the location, and nobody has to be told who measures. Who hears nobody measures all.
+//! Drawn anew by time (tried first) a way was now and then measured by none for seconds, and those who had
+//! just ceased told what had been.
 
 use crate::merge::{Estimate, merge};
 use crate::sketch::{HALF_LIFE, Share, Sketch, bucket, value};
@@ -258,8 +258,8 @@
         Some((cell, cells.len()))
     }
 
-    /// What is believed of the way from here to an edge. Of fewer than three tellers one that lies could not be
-    /// told from the others: then what mates believe of it stands in.
+    /// What is believed of the way from here to an edge. Of fewer than three tellers one that lies could not
+    /// be told from the others: then what mates believe of it stands in.
     pub fn way(&self, now: Duration, rumours: &Rumours, edge: usize) -> Option<Estimate> {
         let own = self.estimate(now, rumours, WAYS, &self.ways, edge);
         if own.is_some_and(|own| own.tellers >= 3) {
--- a/crates/latency/src/sketch.rs
+++ b/crates/latency/src/sketch.rs
@@ -17,8 +17,8 @@
 /// Upper bound of the first bucket; with [`BUCKETS`] of them the last ends at some 10 s.
 const LEAST_S: f64 = 50e-6;
 pub const BUCKETS: usize = 126;
-/// A sample so old counts half of a new one. Five seconds after a step what was before is 1 %, and 5 % in a word
-/// that is two seconds old by then: well under what the ninetieth percentile would be bent by.
+/// A sample so old counts half of a new one. Five seconds after a step what was before is 1 %, and 5 % in a
+/// word that is two seconds old by then: well under what the ninetieth percentile would be bent by.
 pub const HALF_LIFE: Duration = Duration::from_millis(700);
 /// Weights are brought down again before they leave what a float holds well.
 const RESCALE_AT: f64 = 1e12;
--- a/crates/latency/src/steer.rs
+++ b/crates/latency/src/steer.rs
@@ -4,13 +4,14 @@
 //!   two estimates that noise could turn round stay as they stand, and no figure for hysteresis is tuned.
 //! - **Target**: in that order each edge takes what it has room for, until all is placed. What is left has
 //!   nowhere to go: it is for its owner to decline early, not to be squeezed in.
-//! - **Shares** move towards the target by [`STEP`] a second at most, up and down: two hundred routers that read
-//!   the same table in the same instant must not arrive together, and what they do must show before they do
-//!   more. Away from an edge that takes nothing any more they go at once, for what is sent there is lost; three
-//!   quarters of that go to others at once, within the room that they are known to have, the rest by the step.
+//! - **Shares** move towards the target by [`STEP`] a second at most, up and down: two hundred routers that
+//!   read the same table in the same instant must not arrive together, and what they do must show before
+//!   they do more. Away from an edge that takes nothing any more they go at once, for what is sent there is
+//!   lost; three quarters of that go to others at once, within the room that they are known to have, the
+//!   rest by the step.
 //!
-//! A way does not hold the queue of its edge (`model`), so what is sent does not feed back into the order; what
-//! an edge has room for does, through its owner's word, and that is what the step is for.
+//! A way does not hold the queue of its edge (`model`), so what is sent does not feed back into the order;
+//! what an edge has room for does, through its owner's word, and that is what the step is for.
 
 use crate::merge::Estimate;
 use std::time::Duration;
@@ -250,7 +251,11 @@
         #[test]
         fn shares_are_shares_whatever_is_offered(
             turns in prop::collection::vec(
-                (prop::collection::vec((0usize..6, 0.1f64..500.0, 0.0f64..200.0, 0.0f64..0.5), 0..6), 0.0f64..200.0, 0.0f64..3.0),
+                (
+                    prop::collection::vec((0usize..6, 0.1f64..500.0, 0.0f64..200.0, 0.0f64..0.5), 0..6),
+                    0.0f64..200.0,
+                    0.0f64..3.0,
+                ),
                 1..20,
             ),
         ) {
--- a/crates/members/src/rumours.rs
+++ b/crates/members/src/rumours.rs
@@ -1,11 +1,11 @@
 //! Words that all routers are to hear, or all of a location, in bytes that do not grow with the fleet: an
 //! epidemic (Demers and others, "Epidemic algorithms for replicated database maintenance", 1987). No I/O.
 //!
-//! A word has a topic (its kind, a part of it, its teller) and a version; of two of one topic the newer stays.
-//! So it does not matter how often, how late or in what order words come, and nothing is counted twice. A
-//! teller that starts anew has a higher incarnation. A word carries its age, which each router adds to while
-//! it holds it, so no clocks are compared; past the span of its lane it is as if it had never been told. A
-//! datagram's own time on the way is not in the age.
+//! A word has a topic (its kind, a part of it, its teller) and a version; of two of one topic the newer
+//! stays. So it does not matter how often, how late or in what order words come, and nothing is counted
+//! twice. A teller that starts anew has a higher incarnation. A word carries its age, which each router adds
+//! to while it holds it, so no clocks are compared; past the span of its lane it is as if it had never been
+//! told. A datagram's own time on the way is not in the age.
 //!
 //! Each period a router sends two datagrams to mates of its location and one to any router of the fleet, with
 //! what it has told least; a word is told on so many times as spreads it to all (log2 of the fleet, and a few
@@ -13,10 +13,10 @@
 //! one place only the freshest few tellers are kept: enough to outvote one that lies, and no table grows with
 //! the fleet.
 //!
-//! Dangers answered: datagrams lost, doubled, late, turned round (versions, repeated telling); a teller killed
-//! and started anew (incarnations); one that falls silent (ages); one that floods (bounds by lane and place).
-//! Not answered: one router that speaks in another's name, since datagrams bear no signature yet; the peers'
-//! addresses must be the operator's.
+//! Dangers answered: datagrams lost, doubled, late, turned round (versions, repeated telling); a teller
+//! killed and started anew (incarnations); one that falls silent (ages); one that floods (bounds by lane and
+//! place). Not answered: one router that speaks in another's name, since datagrams bear no signature yet;
+//! the peers' addresses must be the operator's.
 
 use crate::codec::MOST_BYTES;
 use crate::talk::{Mouth, To};
@@ -27,8 +27,8 @@
 pub const PERIOD: Duration = Duration::from_millis(250);
 /// Mates of the location that are told something in each; beside them one of all routers.
 const MATES_TOLD: usize = 2;
-/// Words in a hurry go in rounds so soon after one another, to so many mates and to as many of all routers; and
-/// so many times a second at most.
+/// Words in a hurry go in rounds so soon after one another, to so many mates and to as many of all routers;
+/// and so many times a second at most.
 const HURRY: Duration = Duration::from_millis(20);
 const HURRY_TO: usize = 2;
 const HURRY_ROUNDS: u32 = 2;
@@ -190,7 +190,8 @@
     pub old: u64,
 }
 
-/// Rounds that are still to be told at once, from when, and whether anything of them is for other locations too.
+/// Rounds that are still to be told at once, from when, and whether anything of them is for other locations
+/// too.
 #[derive(Clone, Copy, Debug)]
 struct Hurry {
     at: Duration,
@@ -373,8 +374,8 @@
         let lanes = &self.lanes;
         let lane = |kind: u8| lanes.iter().find(|lane| lane.kind == kind);
         let chance = &mut self.chance;
-        // What was told least goes first, but by chance too: by age alone the youngest would fill every datagram,
-        // and what has come over two routers would never get to a third.
+        // What was told least goes first, but by chance too: by age alone the youngest would fill every
+        // datagram, and what has come over two routers would never get to a third.
         let mut fit: Vec<(f64, Topic, &mut Word)> = self
             .words
             .iter_mut()
--- a/crates/regions/src/decide.rs
+++ b/crates/regions/src/decide.rs
@@ -1,22 +1,23 @@
 //! The plan of a location, and where an access goes by it.
 //!
 //! **Who decides.** The router with the least number of those of the location that gave a sign of life lately
-//! speaks for it: it works out who takes what and tells the plan under a number that only grows. All others act
-//! on the plan with the greatest number that is younger than [`PLAN_LASTS`]; where there is none, all stays at
-//! home, as ever. A speaker that dies is followed by the next, which goes on from the plan that it acted on.
-//! In a split each half has its own speaker and decides for what it reaches: no safety hangs on there being one,
-//! since a plan only says among whom to draw, for accesses that may run anywhere.
+//! speaks for it: it works out who takes what and tells the plan under a number that only grows. All others
+//! act on the plan with the greatest number that is younger than [`PLAN_LASTS`]; where there is none, all
+//! stays at home, as ever. A speaker that dies is followed by the next, which goes on from the plan that it
+//! acted on. In a split each half has its own speaker and decides for what it reaches: no safety hangs on
+//! there being one, since a plan only says among whom to draw, for accesses that may run anywhere.
 //!
-//! **When.** The location's caches are held for bad by pooled outcomes ([`Health`]), or the operator drains it, or
-//! they are cold and take less than is asked for. Where more than half of the locations that are heard of are
-//! bad at once, it is no place's fault: nobody goes anywhere.
+//! **When.** The location's caches are held for bad by pooled outcomes ([`Health`]), or the operator drains
+//! it, or they are cold and take less than is asked for. Where more than half of the locations that are
+//! heard of are bad at once, it is no place's fault: nobody goes anywhere.
 //!
-//! **Where to.** What another location has room for is its capacity, warm caches only, at [`FULL`], less what its own
-//! clients ask for, less when it is strained; shared among all locations that are bad just now, so that together
-//! they do not topple it. In the order of the ways from here, by rate-limited steps (`chalkhall_latency::steer`).
+//! **Where to.** What another location has room for is its capacity, warm caches only, at [`FULL`], less
+//! what its own clients ask for, less when it is strained; shared among all locations that are bad just now,
+//! so that together they do not topple it. In the order of the ways from here, by rate-limited steps
+//! (`chalkhall_latency::steer`).
 //!
-//! **Way back.** Once words come back from it again a few accesses try home ([`TRIAL`]); the evidence for good needs more than that for bad, and what
-//! goes home at first is what its cold caches bear.
+//! **Way back.** Once words come back from it again a few accesses try home ([`TRIAL`]); the evidence for
+//! good needs more than that for bad, and what goes home at first is what its cold caches bear.
 
 use crate::evidence::{Counted, Health};
 use crate::words::{HOME, Home, LOAD, Load, PLAN, Plan, TAKERS_MOST};
@@ -49,8 +50,8 @@
 /// Share of accesses that try a bad home: where words come back from it again, and where nobody has asked.
 const TRIAL: f64 = 1.0 / 8.0;
 const TRIAL_BLIND: f64 = 1.0 / 32.0;
-/// Of its capacity a location's room grows by so much in a second at most; it shrinks at once. What comes anew
-/// shows in its strain only a second later, and parts that go to and fro are fetched each time.
+/// Of its capacity a location's room grows by so much in a second at most; it shrinks at once. What comes
+/// anew shows in its strain only a second later, and parts that go to and fro are fetched each time.
 const ROOM_GROWS: f64 = 0.15;
 /// Over this share of accesses not honoured in time a location has no room at all.
 const STRAIN_MOST: f64 = 0.10;
@@ -292,8 +293,8 @@
         Some(Home { bad, drained, demand: middle(|home| home.demand)?, strain: middle(|home| home.strain)? })
     }
 
-    /// What the location asks for: what is heard of, and for each mate that lives but of whose load nothing is
-    /// known just now as much as the others ask for on average. Too little told would overfill this place.
+    /// What the location asks for: what is heard of, and for each mate that lives but of whose load nothing
+    /// is known just now as much as the others ask for on average. Too little told would overfill this place.
     fn demand_here(&self, now: Duration) -> f64 {
         let (sum, known) =
             self.loads(now).fold((0.0, 0.0), |(sum, known), (_, load)| (sum + load.demand, known + 1.0));
@@ -332,8 +333,8 @@
         let mut offers = Vec::new();
         for (edge, (place, home)) in self.places.iter().zip(homes).enumerate() {
             if edge == own {
-                // Near while safe: all that it can do now, before anything leaves. One that is drained comes last,
-                // and keeps what nobody else has taken yet: nothing fails there.
+                // Near while safe: all that it can do now, before anything leaves. One that is drained comes
+                // last, and keeps what nobody else has taken yet: nothing fails there.
                 let last = if self.drained[own] { Duration::from_secs(3600) } else { Duration::ZERO };
                 let way =
                     Some(Estimate { p50: Some(last), p90: Some(last), lost: 0.0, doubt: 0.0, tellers: 1 });
@@ -456,9 +457,9 @@
         self.rumours.say(now, PLAN, self.about.place, plan.encode(), urgent || changed);
     }
 
-    /// Where an access goes. `at`: from 0 to 1, the same for the same part, so that few move as shares do. `may_leave`: it
-    /// may run again anywhere and leaves no mark. `worth`: what it earns for its work; where not all can be
-    /// taken the least of it is turned away.
+    /// Where an access goes. `at`: from 0 to 1, the same for the same part, so that few move as shares do.
+    /// `may_leave`: it may run again anywhere and leaves no mark. `worth`: what it earns for its work; where
+    /// not all can be taken the least of it is turned away.
     pub fn access(&mut self, at: f64, may_leave: bool, worth: f64) -> Where {
         self.worths.note(worth);
         let own = usize::from(self.about.place);
--- a/crates/regions/src/decide/tests.rs
+++ b/crates/regions/src/decide/tests.rs
@@ -362,7 +362,9 @@
 proptest! {
     #[test]
     fn nothing_told_breaks_it_or_sends_anything_where_there_is_no_place(
-        words in prop::collection::vec((1u8..12, any::<u8>(), 0u16..12, prop::collection::vec(any::<u8>(), 0..40)), 0..40),
+        words in prop::collection::vec(
+            (1u8..12, any::<u8>(), 0u16..12, prop::collection::vec(any::<u8>(), 0..40)), 0..40,
+        ),
     ) {
         use chalkhall_members::rumours::{Carried, Topic, Version, encode};
         let mut regions = router(0, 0, 4, 12, 1, 1);
@@ -370,7 +372,8 @@
         for (n, (kind, part, teller, body)) in words.into_iter().enumerate() {
             let version = Version { incarnation: 1, number: n as u32 };
             let place = (teller % 4) as u8;
-            let word = Carried { topic: Topic { kind, part, teller }, place, version, age: Duration::ZERO, urgent: true, body };
+            let (topic, age) = (Topic { kind, part, teller }, Duration::ZERO);
+            let word = Carried { topic, place, version, age, urgent: true, body };
             regions.heard(ms(10), u64::from(teller), &encode(place, &[word]));
             regions.tick(ms(10 + n as u64 * 60), &mut Said::default());
             for at in [0.0, 0.3, 0.99] {
--- a/crates/regions/src/evidence.rs
+++ b/crates/regions/src/evidence.rs
@@ -1,6 +1,6 @@
-//! What the routers of a location see of its caches. One router of twenty sees a few outcomes a second; pooled
-//! they tell within a part of a second whether the place is down, and one router that is itself broken is
-//! outvoted by the rest.
+//! What the routers of a location see of its caches. One router of twenty sees a few outcomes a second;
+//! pooled they tell within a part of a second whether the place is down, and one router that is itself
+//! broken is outvoted by the rest.
 
 use std::time::Duration;
 
@@ -9,8 +9,8 @@
 /// Outcomes that must be bad, over all routers, and their share, for a place to be held for bad.
 const BAD_LEAST: f64 = 4.0;
 const BAD_SHARE: f64 = 0.7;
-/// What an outcome leaves of those of the other kind: what was a while ago says little of a place that has just
-/// gone. Where six in ten fail on end, seven in ten of what is left are bad.
+/// What an outcome leaves of those of the other kind: what was a while ago says little of a place that has
+/// just gone. Where six in ten fail on end, seven in ten of what is left are bad.
 const LEAVES: f64 = 0.8;
 /// For good again it takes more: so many good, hardly any bad, and a while.
 const GOOD_LEAST: f64 = 4.0;
--- a/crates/regions/src/lib.rs
+++ b/crates/regions/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! | module | what |
 //! | --- | --- |
-//! | [`evidence`] | what each router sees of its own caches, pooled; when a place is held for bad, and for good again |
+//! | [`evidence`] | what each router sees of its caches, pooled; when a place is bad, and good again |
 //! | [`words`] | what is told, in bytes |
 //! | [`decide`] | rooms, the plan of the location, where an access goes |
 //!
--- a/crates/regions/src/words.rs
+++ b/crates/regions/src/words.rs
@@ -2,7 +2,7 @@
 //!
 //! | kind | to whom | bytes |
 //! | --- | --- | --- |
-//! | [`LOAD`] | its location | demand in hundredths of a transfer (2), good and bad outcomes in quarters (1, 1) |
+//! | [`LOAD`] | its location | demand in 1/100 of a transfer (2), good and bad outcomes in quarters (1, 1) |
 //! | [`HOME`] | all | bit 0: bad, bit 1: drained (1), demand in tenths (2), strain in 1/255 (1) |
 //! | [`PLAN`] | its location | number (4), then an edge and its share in 1/255 (2), at most [`TAKERS_MOST`] |
 
@@ -106,7 +106,8 @@
     proptest! {
         #[test]
         fn words_come_back_as_they_were_told(
-            demand in 0.0f64..600.0, good in 0.0f64..60.0, bad in 0.0f64..60.0, flags in 0u8..4, strain in 0.0f64..1.0,
+            demand in 0.0f64..600.0, good in 0.0f64..60.0, bad in 0.0f64..60.0, flags in 0u8..4,
+            strain in 0.0f64..1.0,
             number: u32, weights in prop::collection::vec(0.0f64..1.0, 0..20),
         ) {
             let back = Load::decode(&Load { demand, good, bad }.encode()).expect("own bytes");
--- a/crates/router/src/abroad.rs
+++ b/crates/router/src/abroad.rs
@@ -1,5 +1,5 @@
-//! What is decided in common with the routers of all locations, as the decider uses it: the list as places, an
-//! access's location, what outcomes say of the own caches, words and probes. Nothing is decided here.
+//! What is decided in common with the routers of all locations, as the decider uses it: the list as places,
+//! an access's location, what outcomes say of the own caches, words and probes. Nothing is decided here.
 
 use crate::peers::Saying;
 use crate::probes::Probe;
@@ -97,7 +97,8 @@
         // What may run again, and what a cache answers.
         let may = |c: &chalkhall::interface::Category| c.effect == Effect::Idempotent && c.cacheable;
         let categories = deployment.categories.iter().map(|c| (may(c), c.soft_limit, c.benefit)).collect();
-        log::info!(abroad = wishes.abroad, measure = wishes.measure, places = names.len(); "regions: in common");
+        let (abroad, measure) = (wishes.abroad, wishes.measure);
+        log::info!(abroad = abroad, measure = measure, places = names.len(); "regions: in common");
         Ok(Some(Abroad {
             regions,
             saying,
@@ -169,7 +170,8 @@
             self.logged = (plan, bad);
             let shares: Vec<String> =
                 self.shares().iter().map(|(name, share)| format!("{name} {share:.2}")).collect();
-            log::info!(plan = plan, bad = bad, at_ms = now.as_millis() as u64; "regions: plan {}", shares.join(", "));
+            let (shares, at_ms) = (shares.join(", "), now.as_millis() as u64);
+            log::info!(plan = plan, bad = bad, at_ms = at_ms; "regions: plan {shares}");
         }
     }
 
@@ -256,7 +258,8 @@
                 "clients_ms": edge.leg.and_then(|w| ms(w.p50)), "doubt": edge.way.map(|w| w.doubt)})
         });
         let edges: Vec<Value> = edges.collect();
-        json!({"location": self.names.get(self.location), "region": self.region_of.get(self.location), "edges": edges})
+        let (location, region) = (self.names.get(self.location), self.region_of.get(self.location));
+        json!({"location": location, "region": region, "edges": edges})
     }
 
     /// `regions stat`.
@@ -266,13 +269,14 @@
             json!({"location": name, "bad": bad, "drained": drained, "demand": demand, "room": room})
         });
         let places: Vec<Value> = places.collect();
+        let share = |(edge, share): &(usize, f64)| json!([self.names.get(*edge), share]);
         let dropped = self.regions.rumours().dropped();
         json!({
             "location": self.names.get(self.location), "bad": report.bad, "drained": report.drained,
             "flaps": report.flaps, "speaks": report.speaker, "mates": report.mates, "demand": report.demand,
             "plan": report.plan.map(|(plan, teller)| json!({
                 "number": plan.number, "teller": teller,
-                "shares": plan.shares.iter().map(|(edge, share)| json!([self.names.get(*edge), share])).collect::<Vec<_>>(),
+                "shares": plan.shares.iter().map(share).collect::<Vec<_>>(),
             })),
             "places": places,
             "faulty": dropped.faulty, "strange": dropped.strange, "old": dropped.old,
--- a/crates/router/src/probes.rs
+++ b/crates/router/src/probes.rs
@@ -1,6 +1,7 @@
 //! Measures ways: a word to a cache server and back, over connections of its own, each with one word out at a
 //! time. What does not come back within the model's patience is reported as lost; a connection that broke or
-//! fell silent is opened anew for the next word. Nothing waits for it, and what comes too fast is not measured.
+//! fell silent is opened anew for the next word. Nothing waits for it, and what comes too fast is not
+//! measured.
 
 use crate::messages::Message;
 use chalkhall_latency::model::PATIENCE;
--- a/crates/router/tests/program/fleet.rs
+++ b/crates/router/tests/program/fleet.rs
@@ -143,3 +143,64 @@
         assert!(all.recv(&mut [0; 16]).is_err(), "something was said");
     }
 }
+
+/// One question at the control socket.
+fn ask(path: &std::path::Path, words: &str) -> serde_json::Value {
+    use std::io::{BufRead, BufReader, Write};
+    let mut stream = std::os::unix::net::UnixStream::connect(path).unwrap();
+    stream.write_all(format!("{words}\n").as_bytes()).unwrap();
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).unwrap();
+    serde_json::from_str(&line).unwrap()
+}
+
+#[test]
+fn what_fronts_have_measured_steers_and_nonsense_is_refused_with_its_reason() {
+    let (mut world, mate, _all) = with_a_mate("off");
+    world.file["settings"]["Zones"] = json!(["here", "z1", "z2"]);
+    world.file["settings"]["FamilyInfo"]["CrewByZone"] = json!([2, 0, 0]);
+    let control = world.path().with_file_name("control.sock");
+    world.directives = format!(
+        "control {}\nregions {{\n in-common on\n abroad on\n region north here z1\n}}\n",
+        control.display()
+    );
+    let program = world.start();
+    for (words, what) in [
+        ("latency observe z1 z2 5", "not this router's region"),
+        ("latency observe north zz 5", "zz is not a location"),
+        ("latency observe north z2 -5", "MS is from 0"),
+        ("latency observe north z2 5 0", "COUNT from 1"),
+        ("latency observe north", "is written"),
+        ("regions nonsense", "unknown words"),
+    ] {
+        let said = ask(&control, words)["error"].as_str().unwrap_or_default().to_owned();
+        assert!(said.contains(what), "{words}: {said}");
+    }
+    assert_eq!(ask(&control, "latency observe north z2 40 20")["observed"], 20);
+    assert_eq!(ask(&control, "latency observe north z1 90 20")["observed"], 20);
+    let shown = ask(&control, "steer show");
+    let of =
+        |edge: &str| shown["edges"].as_array().unwrap().iter().find(|e| e["edge"] == edge).unwrap().clone();
+    let ms = |edge: &str| of(edge)["clients_ms"].as_f64().unwrap();
+    assert!((ms("z2") / 40.0 - 1.0).abs() < 0.06 && (ms("z1") / 90.0 - 1.0).abs() < 0.06, "{shown}");
+    assert_eq!(
+        (shown["region"].as_str(), of("here")["share"].as_f64()),
+        (Some("north"), Some(1.0)),
+        "{shown}"
+    );
+    assert_eq!(ask(&control, "regions stat")["bad"], false);
+    // Its mate is told in words of the new kind, and nonsense of that kind changes nothing.
+    let (bytes, router) = heard(&mate);
+    assert_eq!(bytes[0], 0xC3);
+    mate.send_to(&[0xC3, 0, 0, 9, 1], router).unwrap();
+    until("the nonsense", || ask(&control, "regions stat")["faulty"] == 1);
+    drop(program);
+}
+
+#[test]
+fn regions_that_are_wrong_end_the_start_with_their_name() {
+    let (mut world, _mate, _all) = with_a_mate("off");
+    world.directives = "regions {\n in-common on\n drain atlantis\n}\n".into();
+    let (status, log) = world.spawn("").ended();
+    assert!(!status.success() && log.contains("atlantis is not a location"), "{log}");
+}
--- a/crates/wirehost/src/wire.rs
+++ b/crates/wirehost/src/wire.rs
@@ -232,6 +232,7 @@
                     part: whole(f, "Segment")?,
                     group: whole(f, "SetNo")?,
                     kb: number(f, "Kb")?,
+                    at: None,
                     left: span(number(f, "Ttl")?),
                     repeated: flag(f, "Repeat")?,
                     cell: None,
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -247,6 +247,7 @@
                         group: field("group", 0),
                         kb: field("kb", 100) as f64,
                         cell: rest.iter().find_map(|w| w.strip_prefix("cell=")).and_then(|c| c.parse().ok()),
+                        at: None,
                         left: ms(field("left", 4000)),
                         repeated: field("repeated", 0) == 1,
                     };
