No measuring before mates are heard: at a start every router measured every way

Who hears no mates measures all ways, and at a start nobody has heard any: 160 routers x 10 ways twice a second.

Change: a router measures from 2.5 s after its start.

--- a/crates/regions/src/decide.rs
+++ b/crates/regions/src/decide.rs
@@ -42,6 +42,8 @@
 ];
 /// A mate that gave a sign of life so lately asks for something.
 const ALIVE: Duration = Duration::from_secs(5);
+/// Within this of a start mates have been heard.
+const SETTLE: Duration = Duration::from_millis(2500);
 /// Own words are told so often, and at once when the place turns bad or good.
 const TELL_EVERY: Duration = Duration::from_millis(500);
 const TURN_EVERY: Duration = Duration::from_millis(250);
@@ -144,6 +146,7 @@
     trial: f64,
     /// Bad and drained, as told last.
     told_of: (bool, bool),
+    started: Duration,
     told: Duration,
     planned: Duration,
     turned: Duration,
@@ -179,6 +182,7 @@
             plan: None,
             trial: TRIAL_BLIND,
             told_of: (false, false),
+            started: now,
             told: now,
             planned: now,
             turned: now.saturating_sub(lag),
@@ -232,6 +236,10 @@
 
     /// The ways to be measured now, by edge.
     pub fn to_measure(&mut self, now: Duration) -> Vec<usize> {
+        // Who hears nobody measures all: at a start, before mates are heard, that would be everybody at once.
+        if now < self.started + SETTLE {
+            return Vec::new();
+        }
         self.model.to_measure(now, &self.rumours)
     }
 
