--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -22,16 +22,27 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap()
+        .as_millis() as u64
 }
 
 /// The processes that were started and have not been waited for.
 static CHILDREN: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Kills the processes that were started, and ends this one.
+/// The temporary folders that were made.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+/// Kills the processes that were started, removes the temporary folders and ends this process.
 pub fn end(code: i32) -> ! {
     for process in std::mem::take(&mut *CHILDREN.lock().unwrap_or_else(|e| e.into_inner())) {
-        let _ = Command::new("kill").args(["-9", &process.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-9", &process.to_string()])
+            .status();
+    }
+    for folder in std::mem::take(&mut *FOLDERS.lock().unwrap_or_else(|e| e.into_inner())) {
+        let _ = std::fs::remove_dir_all(folder);
     }
     std::process::exit(code)
 }
@@ -54,20 +65,34 @@
 /// The root of the repository, from the place of this program: `review/bin/NAME`.
 pub fn root() -> PathBuf {
     let program = std::env::current_exe().unwrap_or_else(|e| cannot_run(&format!("{e}")));
-    program.ancestors().nth(3).unwrap_or_else(|| cannot_run("no root")).to_owned()
+    program
+        .ancestors()
+        .nth(3)
+        .unwrap_or_else(|| cannot_run("no root"))
+        .to_owned()
 }
 
 /// The folder of the case, the argument of the program.
 pub fn case_folder() -> PathBuf {
-    PathBuf::from(std::env::args().nth(1).unwrap_or_else(|| cannot_run("usage: PROGRAM FOLDER")))
+    PathBuf::from(
+        std::env::args()
+            .nth(1)
+            .unwrap_or_else(|| cannot_run("usage: PROGRAM FOLDER")),
+    )
 }
 
 /// The configuration of `docs/example.json` with another list of servers and address of discovery.
 pub fn example_configuration(root: &Path, hosts: &[String], board: SocketAddr) -> String {
     let example = std::fs::read_to_string(root.join("docs/example.json"));
     let example = example.unwrap_or_else(|e| cannot_run(&format!("docs/example.json: {e}")));
-    let begin = example.find("\"hosts\": [").unwrap_or_else(|| cannot_run("no list")) + 10;
-    let end = begin + example[begin..].find(']').unwrap_or_else(|| cannot_run("no list"));
+    let begin = example
+        .find("\"hosts\": [")
+        .unwrap_or_else(|| cannot_run("no list"))
+        + 10;
+    let end = begin
+        + example[begin..]
+            .find(']')
+            .unwrap_or_else(|| cannot_run("no list"));
     let (before, after) = (&example[..begin], &example[end..]);
     format!("{before}{}{after}", hosts.join(",")).replace("127.0.0.1:9092", &board.to_string())
 }
@@ -95,7 +120,10 @@
 impl Record {
     pub fn create(path: &Path) -> Record {
         let file = File::create(path).unwrap_or_else(|e| cannot_run(&format!("{path:?}: {e}")));
-        Record { file: Arc::new(Mutex::new(file)), start: Instant::now() }
+        Record {
+            file: Arc::new(Mutex::new(file)),
+            start: Instant::now(),
+        }
     }
 
     pub fn now(&self) -> f64 {
@@ -122,6 +150,7 @@
     pub fn new(name: &str) -> TempDir {
         let path = std::env::temp_dir().join(format!("review-{name}-{}", std::process::id()));
         std::fs::create_dir_all(&path).unwrap_or_else(|e| cannot_run(&format!("{path:?}: {e}")));
+        FOLDERS.lock().unwrap().push(path.clone());
         TempDir(path)
     }
 }
@@ -201,7 +230,11 @@
         while !self.is_down.load(Ordering::SeqCst) {
             let new: Vec<(u64, String)> = {
                 let events = self.events.lock().unwrap();
-                events.iter().filter(|(rev, _)| *rev > told).cloned().collect()
+                events
+                    .iter()
+                    .filter(|(rev, _)| *rev > told)
+                    .cloned()
+                    .collect()
             };
             for (rev, event) in new {
                 writer.write_all(format!("{event}\n").as_bytes()).ok()?;
@@ -265,7 +298,12 @@
     let line = line.trim_end().to_owned();
     let words: Vec<&str> = line.split(' ').collect();
     if words[0] == "QUIT" && words.len() == 2 {
-        return Some(Ask { is_quit: true, id: words[1].into(), line: line.clone(), ..Ask::default() });
+        return Some(Ask {
+            is_quit: true,
+            id: words[1].into(),
+            line: line.clone(),
+            ..Ask::default()
+        });
     }
     if words[0] != "ASK" || words.len() != 4 {
         cannot_run(&format!("a router sent an unexpected line: {line}"));
@@ -273,11 +311,15 @@
     let body_length: usize = words[3].parse().ok()?;
     let mut body = vec![0; body_length + 2];
     reader.read_exact(&mut body).ok()?;
-    let fields = words[2].split(',').filter_map(|field| field.split_once('='));
+    let fields = words[2]
+        .split(',')
+        .filter_map(|field| field.split_once('='));
     Some(Ask {
         is_quit: false,
         id: words[1].into(),
-        fields: fields.map(|(name, value)| (name.to_owned(), value.to_owned())).collect(),
+        fields: fields
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect(),
         body_length,
         line: line.clone(),
     })
@@ -325,7 +367,10 @@
 
 /// 16 hex digits from a number, scattered.
 pub fn hex_id(n: u64) -> String {
-    format!("{:016x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0x5bd1_e995_c0de_f00d)
+    format!(
+        "{:016x}",
+        n.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ 0x5bd1_e995_c0de_f00d
+    )
 }
 
 // ---- The router
@@ -339,15 +384,24 @@
 /// The value of `run` in the deploy file.
 fn run_command(root: &Path) -> String {
     let path = root.join("deploy/balancer.toml");
-    let text = std::fs::read_to_string(&path).unwrap_or_else(|e| cannot_run(&format!("{path:?}: {e}")));
+    let text =
+        std::fs::read_to_string(&path).unwrap_or_else(|e| cannot_run(&format!("{path:?}: {e}")));
     let line = text.lines().find(|line| line.starts_with("run = \""));
     let command = line.and_then(|line| line.split('"').nth(1));
-    command.unwrap_or_else(|| cannot_run("no run command in the deploy file")).to_owned()
+    command
+        .unwrap_or_else(|| cannot_run("no run command in the deploy file"))
+        .to_owned()
 }
 
 impl Router {
     /// Starts a router with this configuration and waits until it answers GREEN.
-    pub fn start(root: &Path, folder: &Path, name: &str, address: SocketAddr, configuration: &str) -> Router {
+    pub fn start(
+        root: &Path,
+        folder: &Path,
+        name: &str,
+        address: SocketAddr,
+        configuration: &str,
+    ) -> Router {
         let file = folder.join(format!("{name}.json"));
         std::fs::write(&file, configuration).unwrap();
         let log = File::create(folder.join(format!("{name}.log"))).unwrap();
@@ -385,13 +439,19 @@
 
     /// Resident memory in bytes; 0 once the process has ended.
     pub fn resident(&self) -> u64 {
-        let text = std::fs::read_to_string(format!("/proc/{}/statm", self.child.id())).unwrap_or_default();
-        let pages = text.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok());
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/statm", self.child.id())).unwrap_or_default();
+        let pages = text
+            .split(' ')
+            .nth(1)
+            .and_then(|pages| pages.parse::<u64>().ok());
         pages.unwrap_or(0) * 4096
     }
 
     pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill").args([signal, &self.child.id().to_string()]).status();
+        let _ = Command::new("kill")
+            .args([signal, &self.child.id().to_string()])
+            .status();
     }
 }
 
--- a/review/standins/stale_copy.rs
+++ b/review/standins/stale_copy.rs
@@ -34,8 +34,16 @@
                     continue;
                 }
                 let version = version.load(Ordering::SeqCst);
-                let fields = format!("tell=via_origin,etag=00000000000000e{version},made={}", unix_ms());
-                let answer = answer_bytes(&ask.id, "OK", &fields, format!("version {version}").as_bytes());
+                let fields = format!(
+                    "tell=via_origin,etag=00000000000000e{version},made={}",
+                    unix_ms()
+                );
+                let answer = answer_bytes(
+                    &ask.id,
+                    "OK",
+                    &fields,
+                    format!("version {version}").as_bytes(),
+                );
                 if writer.write_all(&answer).is_err() {
                     return;
                 }
@@ -58,10 +66,27 @@
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(ms(3000))).unwrap();
         let sent_at = record.now();
-        stream.write_all(&array(&[b"REQ", self.tag.to_string().as_bytes(), b"page", fields.as_bytes(), b""])).unwrap();
+        stream
+            .write_all(&array(&[
+                b"REQ",
+                self.tag.to_string().as_bytes(),
+                b"page",
+                fields.as_bytes(),
+                b"",
+            ]))
+            .unwrap();
         let parts = read_array(&mut BufReader::new(stream)).unwrap_or_default();
-        let text = |n: usize| parts.get(n).map_or(String::new(), |part| String::from_utf8_lossy(part).into_owned());
-        record.line(&format!("client asked at {sent_at:.1}: {fields} -> {} {} '{}'", text(1), text(2), text(3)));
+        let text = |n: usize| {
+            parts.get(n).map_or(String::new(), |part| {
+                String::from_utf8_lossy(part).into_owned()
+            })
+        };
+        record.line(&format!(
+            "client asked at {sent_at:.1}: {fields} -> {} {} '{}'",
+            text(1),
+            text(2),
+            text(3)
+        ));
         (text(1), text(3))
     }
 }
@@ -74,7 +99,12 @@
     let version = Arc::new(AtomicU64::new(1));
     let board = Board::start(1, &record);
     let mut hosts = Vec::new();
-    for (name, class, block) in [("c1", "cache", 0), ("c2", "cache", 0), ("p1", "parent", 1), ("o1", "origin", 2)] {
+    for (name, class, block) in [
+        ("c1", "cache", 0),
+        ("c2", "cache", 0),
+        ("p1", "parent", 1),
+        ("o1", "origin", 2),
+    ] {
         let listener = listen();
         hosts.push(host(name, listener.local_addr().unwrap(), class, block));
         let (version, record) = (version.clone(), record.clone());
@@ -83,7 +113,10 @@
     let configuration = example_configuration(&root, &hosts, board.address);
     let router = Router::start(&root, &temporary.0, "n1", free_address(), &configuration);
     record.line("the router answers GREEN");
-    let mut client = Client { address: router.address, tag: 0 };
+    let mut client = Client {
+        address: router.address,
+        tag: 0,
+    };
     // The notice board has been followed for some seconds before anything happens.
     std::thread::sleep(ms(2500));
     for _ in 0..4 {
@@ -103,7 +136,10 @@
     // From here on no server has the old version.
     version.store(2, Ordering::SeqCst);
     let purged_at = record.now();
-    let event = board.enter(&format!("\"flush\":{{\"asset\":\"{OBJECT}\",\"ms\":{}}}", unix_ms()));
+    let event = board.enter(&format!(
+        "\"flush\":{{\"asset\":\"{OBJECT}\",\"ms\":{}}}",
+        unix_ms()
+    ));
     record.line(&format!("the object is purged; notice board has: {event}"));
     let obeyed_from = purged_at + TOLD_AFTER_MS + GRACE_MS;
     let mut counts = [0, 0, 0];
--- a/review/standins/withdrawn.rs
+++ b/review/standins/withdrawn.rs
@@ -34,7 +34,10 @@
                 for (at, id) in answers {
                     std::thread::sleep(at.saturating_duration_since(std::time::Instant::now()));
                     let fields = format!("tell=hit,made={}", unix_ms());
-                    if writer.write_all(&answer_bytes(&id, "OK", &fields, b"page")).is_err() {
+                    if writer
+                        .write_all(&answer_bytes(&id, "OK", &fields, b"page"))
+                        .is_err()
+                    {
                         return;
                     }
                 }
@@ -51,13 +54,28 @@
 }
 
 fn request(tag: u64, id: u64, object: u64, deadline_ms: u64) -> Vec<u8> {
-    let fields = format!("i={},d={deadline_ms},o={},lot=7,m=9", hex_id(id), hex_id(object));
-    array(&[b"REQ", tag.to_string().as_bytes(), b"page", fields.as_bytes(), b""])
+    let fields = format!(
+        "i={},d={deadline_ms},o={},lot=7,m=9",
+        hex_id(id),
+        hex_id(object)
+    );
+    array(&[
+        b"REQ",
+        tag.to_string().as_bytes(),
+        b"page",
+        fields.as_bytes(),
+        b"",
+    ])
 }
 
 /// Sends as many requests as a connection may carry, withdraws them all, and does it again. HEALTH tells when
 /// the router has read them. It reads what is sent to it.
-fn bad_client(address: SocketAddr, number: u64, ids: &AtomicU64, withdrawn: &AtomicU64) -> Option<()> {
+fn bad_client(
+    address: SocketAddr,
+    number: u64,
+    ids: &AtomicU64,
+    withdrawn: &AtomicU64,
+) -> Option<()> {
     let stream = TcpStream::connect(address).ok()?;
     stream.set_nodelay(true).ok()?;
     let mut writer = stream.try_clone().ok()?;
@@ -68,7 +86,12 @@
         let mut bytes = Vec::new();
         for _ in 0..OPEN_REQUESTS {
             tag += 1;
-            bytes.extend(request(tag, ids.fetch_add(1, Ordering::Relaxed), 1000 + number, BAD_DEADLINE_MS));
+            bytes.extend(request(
+                tag,
+                ids.fetch_add(1, Ordering::Relaxed),
+                1000 + number,
+                BAD_DEADLINE_MS,
+            ));
         }
         writer.write_all(&bytes).ok()?;
         std::thread::sleep(std::time::Duration::from_micros(500));
@@ -92,23 +115,39 @@
 }
 
 /// Asks 50 times a second, each time on a new connection.
-fn usual_client(address: SocketAddr, ids: &AtomicU64, usual: &Arc<Usual>, stop: &AtomicBool, record: &Record) {
+fn usual_client(
+    address: SocketAddr,
+    ids: &AtomicU64,
+    usual: &Arc<Usual>,
+    stop: &AtomicBool,
+    record: &Record,
+) {
     while !stop.load(Ordering::SeqCst) {
         let id = ids.fetch_add(1, Ordering::Relaxed);
         let (usual, record) = (usual.clone(), record.clone());
         std::thread::spawn(move || {
-            let Ok(mut stream) = TcpStream::connect(address) else { return };
+            let Ok(mut stream) = TcpStream::connect(address) else {
+                return;
+            };
             let _ = stream.set_nodelay(true);
             let _ = stream.set_read_timeout(Some(ms(USUAL_DEADLINE_MS + 500)));
-            if stream.write_all(&request(1, id, id % 64, USUAL_DEADLINE_MS)).is_err() {
+            if stream
+                .write_all(&request(1, id, id % 64, USUAL_DEADLINE_MS))
+                .is_err()
+            {
                 return;
             }
             let parts = read_array(&mut BufReader::new(stream));
-            let word = parts.and_then(|parts| parts.get(1).cloned()).unwrap_or_default();
+            let word = parts
+                .and_then(|parts| parts.get(1).cloned())
+                .unwrap_or_default();
             let count = match &word[..] {
                 b"ACK" => &usual.served,
                 b"" => {
-                    record.line(&format!("a usual client's request {} ended without an answer", hex_id(id)));
+                    record.line(&format!(
+                        "a usual client's request {} ended without an answer",
+                        hex_id(id)
+                    ));
                     &usual.unanswered
                 }
                 _ => &usual.other,
@@ -121,8 +160,11 @@
 
 /// Memory of its own, without the pages of files: the least that a platform counts.
 fn own_memory(router: &Router) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", router.child.id())).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
+    let status =
+        std::fs::read_to_string(format!("/proc/{}/status", router.child.id())).unwrap_or_default();
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("RssAnon:"));
     let kb = line.and_then(|line| line.split_whitespace().next()?.parse::<u64>().ok());
     kb.unwrap_or(0) * 1024
 }
@@ -135,17 +177,30 @@
     let board = Board::start(1, &record);
     let asked = Arc::new(AtomicU64::new(0));
     let mut hosts = Vec::new();
-    for (name, class, block) in [("c1", "cache", 0), ("c2", "cache", 0), ("c3", "cache", 0), ("p1", "parent", 1), ("o1", "origin", 2)] {
+    for (name, class, block) in [
+        ("c1", "cache", 0),
+        ("c2", "cache", 0),
+        ("c3", "cache", 0),
+        ("p1", "parent", 1),
+        ("o1", "origin", 2),
+    ] {
         let listener = listen();
         hosts.push(host(name, listener.local_addr().unwrap(), class, block));
         let asked = asked.clone();
         std::thread::spawn(move || serve(listener, asked));
     }
     let configuration = example_configuration(&root, &hosts, board.address);
-    let configuration = replace(&configuration, "\"memory_mb\": 192", &format!("\"memory_mb\": {MEMORY_MB}"));
+    let configuration = replace(
+        &configuration,
+        "\"memory_mb\": 192",
+        &format!("\"memory_mb\": {MEMORY_MB}"),
+    );
     let mut router = Router::start(&root, &temporary.0, "n1", free_address(), &configuration);
     let address = router.address;
-    record.line(&format!("the router answers GREEN; own memory {} bytes", own_memory(&router)));
+    record.line(&format!(
+        "the router answers GREEN; own memory {} bytes",
+        own_memory(&router)
+    ));
     let ids = Arc::new(AtomicU64::new(1));
     let (stop, usual) = (Arc::new(AtomicBool::new(false)), Arc::new(Usual::default()));
     let clients = {
