Discovery: heartbeats are recognised in object form too

A number one ahead of the last event would have been taken for that event, and the event lost.

Cause: the platform sends its last number as {"rev":41}; process_line took only a bare number for a heartbeat. As an object it was an event of an unknown kind: skipped if it was the next number, else 'behind'.

Change: parse_heartbeat accepts the number bare or as the only member of an object.

Tests: heartbeats_keep_a_watch_open_as_bare_numbers_and_as_objects and a_heartbeat_ahead_of_the_last_event_requests_the_missed_events fail with the old condition and pass with the new one.

--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::Clock;
 use crate::discovery_events::{
-    DeploymentNames, DiscoveryEvent, EventError, NumberedEvent, parse_event,
+    DeploymentNames, DiscoveryEvent, EventError, NumberedEvent, parse_event, parse_heartbeat,
 };
 use crate::io_errors::{retry_immediately, set_nodelay};
 use crate::retrying_stream::RetryingStream;
@@ -282,7 +282,7 @@
 
     async fn process_line(&mut self, line: &[u8]) -> Result<Progress, WatchError> {
         let value: Value = serde_json::from_slice(line).map_err(WatchError::NotJson)?;
-        match value.as_u64() {
+        match parse_heartbeat(&value) {
             Some(number) => self.process_heartbeat(number),
             None => self.process_event(&value).await,
         }
--- a/crates/router/src/discovery/tests.rs
+++ b/crates/router/src/discovery/tests.rs
@@ -275,3 +275,78 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against heartbeats that are taken for events: the watch was opened anew after each 1.8 s
+/// without an event, and nothing confirmed that the router was up to date.
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn heartbeats_keep_a_watch_open_as_bare_numbers_and_as_objects() {
+    use std::io::Write;
+    use tokio::time::advance;
+
+    let test = |heartbeat: &'static str| async move {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (decider, mut events) = mpsc::channel(4);
+        let discovery = Discovery {
+            address: listener.local_addr().unwrap(),
+            decider,
+            ..new_discovery(1)
+        };
+        let (_reconfigure, reconfigured) = mpsc::channel(1);
+        tokio::task::spawn_local(discovery.run(reconfigured));
+        run_other_tasks().await;
+        let (mut stream, _) = listener.accept().unwrap();
+        listener.set_nonblocking(true).unwrap();
+        for _ in 0..60 {
+            stream.write_all(heartbeat.as_bytes()).unwrap();
+            run_other_tasks().await;
+            assert!(
+                listener.accept().is_err(),
+                "{heartbeat:?} is not recognised: a new watch"
+            );
+            assert!(matches!(
+                events.try_recv(),
+                Ok(DiscoveryEvent::UpToDate { .. })
+            ));
+            advance(Duration::from_secs(1)).await;
+        }
+    };
+    for heartbeat in ["0\n", "{\"rev\":0}\n", "{ \"rev\": 0 }\r\n"] {
+        tokio::task::LocalSet::new()
+            .run_until(test(heartbeat))
+            .await;
+    }
+}
+
+/// Guards against lost events: a number ahead of the last event says that events were missed. It is
+/// not an event itself, after which the missed one would be skipped.
+#[tokio::test(flavor = "current_thread")]
+async fn a_heartbeat_ahead_of_the_last_event_requests_the_missed_events() {
+    use tokio::net::TcpListener;
+    use tokio::task::{LocalSet, spawn_local};
+
+    let test = |heartbeat: &'static str| async move {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (decider, _events) = mpsc::channel(4);
+        let discovery = Discovery {
+            address: listener.local_addr().unwrap(),
+            decider,
+            ..new_discovery(1)
+        };
+        let (_reconfigure, reconfigured) = mpsc::channel(1);
+        spawn_local(discovery.run(reconfigured));
+        let mut lines = Vec::new();
+        for _ in 0..2 {
+            let (stream, _) = listener.accept().await.unwrap();
+            let (mut stream, mut line) = (BufReader::new(stream), String::new());
+            stream.read_line(&mut line).await.unwrap();
+            stream.write_all(heartbeat.as_bytes()).await.unwrap();
+            lines.push(line);
+            // Until the router closes the watch.
+            let _ = stream.read_line(&mut String::new()).await;
+        }
+        assert_eq!(lines, ["watch 0\n", "watch 0\n"], "{heartbeat:?}");
+    };
+    for heartbeat in ["1\n", "{\"rev\":1}\n"] {
+        LocalSet::new().run_until(test(heartbeat)).await;
+    }
+}
--- a/crates/router/src/discovery_events.rs
+++ b/crates/router/src/discovery_events.rs
@@ -96,6 +96,15 @@
     PurgeWithoutTarget,
 }
 
+/// The number of the last event, if a line is a heartbeat: the number alone, bare or as the only
+/// member of an object.
+pub fn parse_heartbeat(line: &Value) -> Option<u64> {
+    match line {
+        Value::Object(members) if members.len() == 1 => members.get("rev")?.as_u64(),
+        _ => line.as_u64(),
+    }
+}
+
 const UNSIGNED_INTEGER: &str = "a whole number";
 
 /// Parses one numbered event.
--- a/crates/router/src/discovery_events/tests.rs
+++ b/crates/router/src/discovery_events/tests.rs
@@ -82,3 +82,21 @@
         );
     }
 }
+
+#[test]
+fn a_heartbeat_is_the_last_number_alone() {
+    let heartbeat = |line: &str| parse_heartbeat(&serde_json::from_str(line).unwrap());
+    assert_eq!(heartbeat("41"), Some(41));
+    assert_eq!(heartbeat("{\"rev\":41}"), Some(41));
+    for other in [
+        "{\"rev\":41,\"flush\":{\"collection\":1,\"ms\":5}}",
+        "{\"rev\":41,\"unknown\":{}}",
+        "{\"rev\":-1}",
+        "{\"seq\":41}",
+        "{}",
+        "[41]",
+        "\"41\"",
+    ] {
+        assert_eq!(heartbeat(other), None, "{other}");
+    }
+}
