Rule 5: no local copy is used once a purge may have been missed

Cause: a local copy was compared only with the purges that were received; nothing looked at how far those are complete (src/dispatch.rs validate_attempt). The case's record shows that no server was asked between the outage and discovery's return, and that the purge took effect 16 ms after the new watch: neither servers nor coalescing nor a lost event had a part.

Change: a local copy is used only if discovery confirmed within 2 s that it has sent all events, or the copy was created within them. The check stands where every rule is checked, so it covers memory, disk, stale answers, unchanged answers and waiters. A heartbeat that lay unread confirms only the time before (read_wait, moved from client_connection). store stat shows how long ago discovery confirmed. The simulations, proofs and tests with local copies now have a discovery that is up.

Why it works: an undelivered purge counts as received 2 s after a break at the earliest, and servers remove purged copies by themselves.

--- a/crates/cli/src/bin/proof-store/day.rs
+++ b/crates/cli/src/bin/proof-store/day.rs
@@ -406,6 +406,7 @@
             time_left: Duration::from_secs(5),
             ..IncomingRequest::default()
         };
+        router.confirm_discovery(now);
         router.request(now, arrival, &mut environment);
         while let Some((attempt, outcome, remark)) = environment.finished_attempts.pop_front() {
             // The cost of a fill differs by object, from near sources to far ones.
--- a/crates/cli/src/bin/proof-store/timings.rs
+++ b/crates/cli/src/bin/proof-store/timings.rs
@@ -245,6 +245,7 @@
             .router
             .take()
             .ok_or("the router is already handling a request")?;
+        router.confirm_discovery(self.driver.now());
         let begun = Instant::now();
         let now = self.driver.now();
         router.request(now, arrival, self);
--- a/crates/router/src/client_connection.rs
+++ b/crates/router/src/client_connection.rs
@@ -15,7 +15,6 @@
 mod admission;
 mod closing;
 mod read_buffer;
-mod read_wait;
 mod requests;
 mod write_buffer;
 
--- a/crates/router/src/client_connection/read_buffer.rs
+++ b/crates/router/src/client_connection/read_buffer.rs
@@ -1,7 +1,7 @@
 //! The reading side of a client connection: decodes frames from the received bytes.
 
-use super::read_wait::ReadWait;
 use crate::client_protocol::{FrameDecoder, FrameError};
+use crate::read_wait::ReadWait;
 use crate::retrying_stream::RetryingStream;
 use bytes::{Bytes, BytesMut};
 use std::io;
--- a/crates/router/src/decider/discovery_updates.rs
+++ b/crates/router/src/decider/discovery_updates.rs
@@ -5,7 +5,6 @@
 use super::{Decider, MAX_CONNECTIONS_PER_SERVER};
 use crate::cell_routing::CellPlan;
 use crate::discovery_events::{DiscoveredServer, DiscoveryEvent};
-use crate::local_cache::LocalCache;
 use chalkhall::interface::{Id, ListKind, Member, ServerState};
 use std::collections::HashSet;
 use std::time::Duration;
@@ -21,10 +20,7 @@
                 }
             }
             DiscoveryEvent::CellMap(plan) => self.replace_cell_map(now, *plan),
-            DiscoveryEvent::UpToDate => {
-                let local_cache = self.dispatcher.local_cache.iter_mut();
-                local_cache.for_each(LocalCache::confirm_up_to_date);
-            }
+            DiscoveryEvent::UpToDate { as_of } => self.confirm_discovery(as_of),
             DiscoveryEvent::Purge {
                 object,
                 group,
@@ -63,6 +59,14 @@
         self.router.record_purge(now, object, group, age);
     }
 
+    /// Records that all events that discovery had at `as_of` have been received.
+    fn confirm_discovery(&mut self, as_of: Duration) {
+        self.router.confirm_discovery(as_of);
+        if let Some(local_cache) = &mut self.dispatcher.local_cache {
+            local_cache.confirm_discovery(as_of);
+        }
+    }
+
     fn update_list(&mut self, now: Duration, is_snapshot: bool, listed: Vec<DiscoveredServer>) {
         self.update_servers(is_snapshot, &listed);
         let mut members: Vec<Member> = listed.into_iter().map(|server| server.member).collect();
--- a/crates/router/src/discovery.rs
+++ b/crates/router/src/discovery.rs
@@ -6,6 +6,7 @@
     DeploymentNames, DiscoveryEvent, EventError, NumberedEvent, parse_event, parse_heartbeat,
 };
 use crate::io_errors::{retry_immediately, set_nodelay};
+use crate::read_wait::ReadWait;
 use crate::retrying_stream::RetryingStream;
 use crate::timestamps::EventTimes;
 use serde_json::Value;
@@ -251,7 +252,7 @@
         // or repeats old events is treated like a silent one.
         let mut current_at = watch.opened_at;
         loop {
-            if let Progress::Current = self.process_line(&watch.line).await? {
+            if let Progress::Current = self.process_line(&watch).await? {
                 (current_at, state.backoff) = (Instant::now(), INITIAL_BACKOFF);
             }
             let line = timeout_at(current_at + SILENCE_TIMEOUT, watch.next_line()).await;
@@ -277,19 +278,26 @@
             lines: BufReader::new(stream),
             line: Vec::new(),
             opened_at: Instant::now(),
+            wait: ReadWait::new(),
+            unread_for: Duration::ZERO,
         })
     }
 
-    async fn process_line(&mut self, line: &[u8]) -> Result<Progress, WatchError> {
-        let value: Value = serde_json::from_slice(line).map_err(WatchError::NotJson)?;
+    async fn process_line(&mut self, watch: &Watch) -> Result<Progress, WatchError> {
+        let value: Value = serde_json::from_slice(&watch.line).map_err(WatchError::NotJson)?;
         match parse_heartbeat(&value) {
-            Some(number) => self.process_heartbeat(number),
+            Some(number) => self.process_heartbeat(number, watch.unread_for),
             None => self.process_event(&value).await,
         }
     }
 
-    /// Processes a heartbeat: the number of the last event of the service.
-    fn process_heartbeat(&mut self, number: u64) -> Result<Progress, WatchError> {
+    /// Processes a heartbeat: the number of the last event of the service. It was unread for at
+    /// most `unread_for`; events that the service could not send may be newer.
+    fn process_heartbeat(
+        &mut self,
+        number: u64,
+        unread_for: Duration,
+    ) -> Result<Progress, WatchError> {
         let last = self.last_event;
         if number > last {
             return Err(WatchError::Missed { number, last });
@@ -299,7 +307,8 @@
         }
         self.event_times.confirm_up_to_date();
         // If the mailbox is full, the next heartbeat is sufficient.
-        let _ = self.decider.try_send(DiscoveryEvent::UpToDate);
+        let as_of = self.clock.now().saturating_sub(unread_for);
+        let _ = self.decider.try_send(DiscoveryEvent::UpToDate { as_of });
         Ok(Progress::Current)
     }
 
@@ -341,6 +350,9 @@
     /// The last line, or the received part of the next one.
     line: Vec<u8>,
     opened_at: Instant,
+    wait: ReadWait,
+    /// The longest time for which the last line can have been unread.
+    unread_for: Duration,
 }
 
 impl Watch {
@@ -351,7 +363,10 @@
         }
         let remaining = MAX_LINE_BYTES - self.line.len() as u64;
         let mut bounded = (&mut self.lines).take(remaining);
+        self.wait.begin();
         bounded.read_until(b'\n', &mut self.line).await?;
+        self.unread_for = self.wait.unread_for();
+        self.wait.end();
         if self.line.last() == Some(&b'\n') {
             Ok(())
         } else {
--- a/crates/router/src/discovery/tests.rs
+++ b/crates/router/src/discovery/tests.rs
@@ -172,7 +172,7 @@
             stream.write_all(b"0\n").unwrap();
             assert!(matches!(
                 next_event(&mut events).await,
-                DiscoveryEvent::UpToDate
+                DiscoveryEvent::UpToDate { .. }
             ));
             advance(Duration::from_secs(1)).await;
         }
@@ -246,7 +246,7 @@
                     DiscoveryEvent::Purge {
                         purged_at_unix_ms, ..
                     } => return purged_at_unix_ms,
-                    DiscoveryEvent::UpToDate => {}
+                    DiscoveryEvent::UpToDate { .. } => {}
                     _ => panic!("not a purge"),
                 }
             }
@@ -276,6 +276,57 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against purged copies in answers after a stall: what was read late says nothing about the
+/// time since, in which the connection may have broken.
+#[tokio::test(flavor = "current_thread", start_paused = true)]
+async fn a_heartbeat_that_was_unread_for_a_while_confirms_only_the_time_before() {
+    use std::io::Write;
+    use tokio::time::advance;
+
+    const STALL: Duration = Duration::from_secs(3);
+    let test = async {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let (decider, mut events) = mpsc::channel(2);
+        let discovery = Discovery {
+            address: listener.local_addr().unwrap(),
+            decider,
+            ..new_discovery(1)
+        };
+        let clock = discovery.clock;
+        let (_reconfigure, reconfigured) = mpsc::channel(1);
+        tokio::task::spawn_local(discovery.run(reconfigured));
+        run_other_tasks().await;
+        let (mut stream, _) = listener.accept().unwrap();
+        // The decider takes two events; the third one waits, and the heartbeat behind it is unread.
+        let event =
+            |number: u64| format!("{{\"rev\":{number},\"flush\":{{\"collection\":7,\"ms\":5}}}}\n");
+        let lines = [event(1), event(2), event(3), "3\n".to_owned()].concat();
+        stream.write_all(lines.as_bytes()).unwrap();
+        while events.len() < 2 {
+            run_other_tasks().await;
+        }
+        run_other_tasks().await;
+        let stalled_at = clock.now();
+        advance(STALL).await;
+        for _ in 0..2 {
+            events.try_recv().expect("an event before the stall");
+        }
+        next_event(&mut events).await;
+        let DiscoveryEvent::UpToDate { as_of } = next_event(&mut events).await else {
+            panic!("not a heartbeat")
+        };
+        assert!(as_of <= stalled_at, "{:?} too late", as_of - stalled_at);
+        // One that is read as it arrives confirms the present.
+        advance(Duration::from_secs(1)).await;
+        stream.write_all(b"3\n").unwrap();
+        let DiscoveryEvent::UpToDate { as_of } = next_event(&mut events).await else {
+            panic!("not a heartbeat")
+        };
+        assert_eq!(as_of, clock.now());
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
+
 /// Guards against heartbeats that are taken for events: the watch was opened anew after each 1.8 s
 /// without an event, and nothing confirmed that the router was up to date.
 #[tokio::test(flavor = "current_thread", start_paused = true)]
--- a/crates/router/src/discovery_events.rs
+++ b/crates/router/src/discovery_events.rs
@@ -52,7 +52,10 @@
         purged_at_unix_ms: u64,
     },
     /// Discovery has sent all of its events.
-    UpToDate,
+    UpToDate {
+        /// The time at which that was true. The report may have been read later.
+        as_of: Duration,
+    },
     /// A new cell map from the operator's file. This event does not come from discovery.
     CellMap(Box<CellPlan>),
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -22,6 +22,7 @@
 mod messages;
 mod operator_query;
 mod rate_limited_log;
+mod read_wait;
 mod reload;
 mod retrying_stream;
 mod scheduling_delay;
--- a/crates/router/src/local_cache.rs
+++ b/crates/router/src/local_cache.rs
@@ -66,6 +66,8 @@
     /// back.
     early_purges: Vec<Purge>,
     classes: Vec<NamedClass>,
+    /// Until when all events of discovery have been received, for the report to operators.
+    discovery_confirmed_at: Duration,
     /// The members of the list that stand for memory and disk.
     tiers: [Id; 2],
     /// The bytes that bodies and cached copies may use together.
@@ -352,11 +354,10 @@
         );
     }
 
-    /// Records that discovery has sent all of its events.
-    pub fn confirm_up_to_date(&mut self) {
-        let unix_ms = self
-            .clock
-            .unix_ms(self.clock.now().saturating_sub(MAX_PURGE_DELAY));
+    /// Records that all events that discovery had at `as_of` have been received.
+    pub fn confirm_discovery(&mut self, as_of: Duration) {
+        self.discovery_confirmed_at = self.discovery_confirmed_at.max(as_of);
+        let unix_ms = self.clock.unix_ms(as_of.saturating_sub(MAX_PURGE_DELAY));
         self.store
             .disk_mut()
             .into_iter()
@@ -458,7 +459,8 @@
 
     /// State and counters, for operators.
     pub fn report(&self) -> Value {
-        report::report(&self.store)
+        let confirmed_ago = self.clock.now().saturating_sub(self.discovery_confirmed_at);
+        report::report(&self.store, confirmed_ago)
     }
 
     /// Seals the open segments on disk. The disk threads stop when they have finished.
--- a/crates/router/src/local_cache/open.rs
+++ b/crates/router/src/local_cache/open.rs
@@ -109,6 +109,7 @@
             set_back_ms,
             early_purges: Vec::new(),
             classes: classes(configuration),
+            discovery_confirmed_at: clock.now(),
             tiers: [MEMORY_TIER.into(), DISK_TIER.into()],
             usable_memory: usable,
             link_capacity: configuration.link_capacity.unwrap_or(f64::INFINITY),
--- a/crates/router/src/local_cache/report.rs
+++ b/crates/router/src/local_cache/report.rs
@@ -3,10 +3,15 @@
 use chalkhall_store::decide::Store;
 use chalkhall_store::decide::disk::{Disk, Phase};
 use serde_json::{Value, json};
+use std::time::Duration;
 
-/// Reports the contents and the counters of a store.
-pub fn report(store: &Store) -> Value {
-    let mut report = json!({"memory": memory(store)});
+/// Reports the contents and the counters of a store, and how long ago discovery last confirmed
+/// that all purges have been received: for longer than two seconds, copies made before are not used.
+pub fn report(store: &Store, discovery_confirmed_ago: Duration) -> Value {
+    let mut report = json!({
+        "memory": memory(store),
+        "discovery_confirmed_ms_ago": discovery_confirmed_ago.as_millis() as u64,
+    });
     if let Some(disk) = store.disk() {
         report["disk"] = disk_tier(disk);
         report["work"] = background_work(disk);
--- a/crates/router/src/client_connection/read_wait.rs
+++ b/crates/router/src/read_wait.rs
@@ -1,4 +1,4 @@
-//! Computes an upper bound on how long data was unread before it was read from a client connection.
+//! Computes an upper bound on how long data was unread before it was read from a connection.
 
 use crate::scheduling_delay;
 use std::time::Duration;
--- a/crates/router/src/timestamps.rs
+++ b/crates/router/src/timestamps.rs
@@ -94,7 +94,7 @@
                 }
             }
             DiscoveryEvent::DrainedZones(_)
-            | DiscoveryEvent::UpToDate
+            | DiscoveryEvent::UpToDate { .. }
             | DiscoveryEvent::CellMap(_) => {}
         }
     }
--- a/crates/router/tests/program/clock_steps.rs
+++ b/crates/router/tests/program/clock_steps.rs
@@ -23,15 +23,14 @@
     unix_ms().checked_add_signed(step_ms).unwrap()
 }
 
-/// Starts a router to which discovery has confirmed that its endpoint list is current; also returns
-/// its watch.
+/// Starts a router to which discovery has confirmed that its endpoint list is current.
 fn start_up_to_date_router(
     directives: &str,
-) -> (TestEnvironment, RouterProcess, TestClient, Watch) {
+) -> (TestEnvironment, RouterProcess, TestClient, RunningDiscovery) {
     let (environment, router, client) = start_router_with(directives);
-    let mut watch = environment.discovery.accept_watch();
-    watch.send("1\n");
-    (environment, router, client, watch)
+    let discovery = RunningDiscovery::start(&environment.discovery);
+    wait_until("the first heartbeat", || discovery.has_sent_heartbeat());
+    (environment, router, client, discovery)
 }
 
 /// Connections that the servers have accepted, by the name of the server.
@@ -112,11 +111,11 @@
 /// Returns how many of [`CONCURRENT_REQUESTS`] requests go to a server whose start was announced
 /// just before.
 fn concurrent_requests_sent_after_a_start(stamp: impl Fn() -> u64) -> usize {
-    let (environment, _router, mut client, mut watch) = start_up_to_date_router("");
+    let (environment, _router, mut client, discovery) = start_up_to_date_router("");
     let mut entry = environment.server("c1").entry("active");
     entry["born_ms"] = json!(stamp());
-    watch.send(endpoints_event(2, &[entry]));
-    watch.send(purge_event(3, unix_ms()));
+    discovery.publish(2, endpoints_event(2, &[entry]));
+    discovery.publish(3, purge_event(3, unix_ms()));
     let mut connections = Connections::default();
     connections.wait_until_purge_is_applied(&environment, &mut client);
     for tag in 1..=CONCURRENT_REQUESTS {
@@ -152,7 +151,7 @@
 #[test]
 fn a_purge_applies_on_notification_whatever_its_timestamp() {
     for step in STEPS_MS {
-        let (environment, _router, mut client, mut watch) =
+        let (environment, _router, mut client, discovery) =
             start_up_to_date_router("store {\n memory 10MB\n}\n");
         let mut connections = Connections::default();
         let fields = format!("tell=filled,{TAG},made={}", shifted_unix_ms(0));
@@ -168,7 +167,7 @@
             (b"old".to_vec(), None),
             "not served from the local cache"
         );
-        watch.send(purge_event(2, shifted_unix_ms(step)));
+        discovery.publish(2, purge_event(2, shifted_unix_ms(step)));
         connections.wait_until_purge_is_applied(&environment, &mut client);
         client.send_request(7, "page", "", b"");
         let served =
@@ -179,7 +178,7 @@
 
 #[test]
 fn a_copy_from_the_future_is_not_cached_and_later_ones_are_corrected_by_the_clock_offset() {
-    let (environment, _router, mut client, _watch) =
+    let (environment, _router, mut client, _discovery) =
         start_up_to_date_router("store {\n memory 10MB\n}\n");
     let mut connections = Connections::default();
     // The copy would be admitted at its second request, were its age known; from then on the offset
@@ -239,6 +238,7 @@
         control.display(),
         disk.display()
     );
+    let _discovery = RunningDiscovery::start(&environment.discovery);
     let mut connections = Connections::default();
     let mut request_copy = |environment: &TestEnvironment, client: &mut TestClient, body: &[u8]| {
         client.send_request(7, "page", "", b"");
--- a/crates/router/tests/program/local_cache.rs
+++ b/crates/router/tests/program/local_cache.rs
@@ -1,6 +1,7 @@
 //! The local cache in memory and on disk, and the control socket that reports it.
 
 use crate::support::*;
+use std::time::{Duration, Instant};
 
 const TAG: &str = "etag=4be0c1927d55a6f3";
 
@@ -16,9 +17,15 @@
     client.send_request(7, "page", "", b"");
 }
 
+/// What discovery could not deliver counts as received this long after its connection broke.
+const OUTAGE_LIMIT: Duration = Duration::from_secs(2);
+/// The grace of a purge, `ObeyAfter` in the default settings of the tests.
+const PURGE_GRACE: Duration = Duration::from_millis(500);
+
 #[test]
 fn a_repeated_request_is_answered_from_the_local_cache() {
     let (environment, _router, mut client) = start_router_with("store {\n memory 25%\n}\n");
+    let _discovery = RunningDiscovery::start(&environment.discovery);
     let mut server = fill_cache(&environment, &mut client);
     client.send_request(7, "page", "", b"");
     assert_eq!(
@@ -56,10 +63,10 @@
 #[test]
 fn copies_made_before_a_purge_are_not_cached() {
     let (environment, _router, mut client) = start_router_with("store {\n memory 10MB\n}\n");
-    let mut discovery = environment.discovery.accept_watch();
+    let discovery = RunningDiscovery::start(&environment.discovery);
     let mut server = fill_cache(&environment, &mut client);
     let purged = unix_ms();
-    discovery.send(purge_event(2, purged));
+    discovery.publish(2, purge_event(2, purged));
     // The purge is known to be applied once a request for another object carries a lower `maxage`.
     let mut tag = 100;
     wait_until("the purge to be applied", || {
@@ -97,6 +104,52 @@
     assert_eq!(client.read_answer().body, b"new", "made after the purge");
 }
 
+/// Guards against purged copies in answers while discovery is down: the purge cannot be received,
+/// so copies from before the outage must not be used once it counts as received.
+#[test]
+fn no_copy_from_before_an_outage_of_discovery_is_served_after_the_purge_grace() {
+    let mut environment = TestEnvironment::new().with_directives("store {\n memory 10MB\n}\n");
+    let discovery = RunningDiscovery::start(&environment.discovery);
+    let router = environment.start();
+    let mut client = router.connect();
+    let mut server = fill_cache(&environment, &mut client);
+    wait_until_served_from_cache(&mut client, &mut server, b"two");
+    let address = environment.discovery.stop_listening();
+    drop(discovery);
+    let broken_at = Instant::now();
+    let purged_ms = unix_ms();
+    wait_until("the purge to count as received", || {
+        // Until then the purged copy may be served. No server has it any more.
+        request_and_respond(&mut client, &mut server, b"new");
+        broken_at.elapsed() > OUTAGE_LIMIT + PURGE_GRACE + SLACK
+    });
+    let body = request_and_respond(&mut client, &mut server, b"new");
+    assert_eq!(body, b"new", "served from before the outage");
+
+    environment.discovery.listen_again(address);
+    let discovery = RunningDiscovery::start(&environment.discovery);
+    discovery.publish(2, purge_event(2, purged_ms));
+    wait_until_served_from_cache(&mut client, &mut server, b"new");
+}
+
+/// Requests object 7, and answers with this body if the request reaches the server. Returns the
+/// body that the client receives.
+fn request_and_respond(
+    client: &mut TestClient,
+    server: &mut LineConnection,
+    body: &[u8],
+) -> Vec<u8> {
+    request_object(client);
+    wait_until("an answer", || {
+        if server.has_unread_data() {
+            let request = server.read_request();
+            server.respond(&request, "OK", &filled_fields(0), body);
+        }
+        client.has_unread_data()
+    });
+    client.read_answer().body
+}
+
 #[test]
 fn an_expired_copy_is_requested_again() {
     let (environment, _router, mut client) = start_router_with("store {\n memory 10MB\n}\n");
@@ -114,6 +167,7 @@
 #[test]
 fn concurrent_requests_for_one_part_are_coalesced() {
     let (environment, _router, mut client) = start_router_with("store {\n memory 10MB\n}\n");
+    let _discovery = RunningDiscovery::start(&environment.discovery);
     let ids: Vec<String> = (1..=5)
         .map(|tag| {
             let id = format!("{:016x}", 0xabc0 + tag);
@@ -218,6 +272,7 @@
     let mut environment = TestEnvironment::new();
     configure_disk_cache(&mut environment, " known-purges 1h");
     let body = vec![9; 30_000];
+    let _discovery = RunningDiscovery::start(&environment.discovery);
     let mut router = environment.start();
     let mut client = router.connect();
     request_object(&mut client);
@@ -268,6 +323,7 @@
     let mut environment = TestEnvironment::new();
     configure_disk_cache(&mut environment, " revalidate 100");
     let body = vec![9; 30_000];
+    let _discovery = RunningDiscovery::start(&environment.discovery);
     let mut router = environment.start();
     let mut client = router.connect();
     request_object(&mut client);
--- a/crates/router/tests/program/support/fake_discovery.rs
+++ b/crates/router/tests/program/support/fake_discovery.rs
@@ -24,6 +24,20 @@
 }
 
 impl Watch {
+    /// A watch on an accepted connection; `None` if the router closes it without a request.
+    pub fn accepted(stream: TcpStream) -> Option<Watch> {
+        let mut connection = LineConnection::new(stream);
+        let line = connection.read_line();
+        if line.is_empty() {
+            return None;
+        }
+        let revision = line.strip_prefix("watch ").and_then(|n| n.parse().ok());
+        Some(Watch {
+            connection,
+            after_revision: revision.unwrap_or_else(|| panic!("not a watch: {line:?}")),
+        })
+    }
+
     /// The connection without the revision.
     pub fn into_connection(self) -> LineConnection {
         self.connection
@@ -90,13 +104,7 @@
     pub fn accept_watch(&self) -> Watch {
         let stream = self.pending.take();
         let stream = stream.unwrap_or_else(|| accept(&self.listener));
-        let mut connection = LineConnection::new(stream);
-        let line = connection.read_line();
-        let revision = line.strip_prefix("watch ").and_then(|n| n.parse().ok());
-        Watch {
-            connection,
-            after_revision: revision.unwrap_or_else(|| panic!("not a watch: {line:?}")),
-        }
+        Watch::accepted(stream).expect("the router closed its connection without a request")
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -33,6 +33,8 @@
     SlowStartBudgetSpent,
     /// Rule 5: the local copy is too old.
     CopyTooOld,
+    /// Rule 5: discovery has been silent, and a purge of the local copy may have been missed.
+    PurgesUnconfirmed,
 }
 
 /// The parameters of an attempt that satisfies every rule.
@@ -91,10 +93,8 @@
         self.validate_endpoint(now, server, request)?;
         self.validate_endpoint(now, source, request)?;
         let max_age = self.max_age(now, request, route.allowed_staleness);
-        if let (Some(created_at), Some(max_age)) = (route.copy_created_at, max_age)
-            && now.saturating_sub(created_at) >= max_age
-        {
-            return Err(Refusal::CopyTooOld);
+        if let Some(created_at) = route.copy_created_at {
+            self.validate_local_copy(now, created_at, max_age)?;
         }
         let class = &self.classes[request.arrival.class];
         let can_be_cancelled = self.may_cancel && !class.streamed;
@@ -191,6 +191,23 @@
         by_purge.into_iter().chain(by_freshness).min()
     }
 
+    /// Rule 5, for a local copy: neither its age nor a purge that was or may have been made since
+    /// its creation forbids its use.
+    fn validate_local_copy(
+        &self,
+        now: Duration,
+        created_at: Duration,
+        max_age: Option<Duration>,
+    ) -> Result<(), Refusal> {
+        if max_age.is_some_and(|max_age| now.saturating_sub(created_at) >= max_age) {
+            return Err(Refusal::CopyTooOld);
+        }
+        if !self.purges.allows_local_copy(now, created_at) {
+            return Err(Refusal::PurgesUnconfirmed);
+        }
+        Ok(())
+    }
+
     #[inline]
     fn work(&self, endpoint: &Endpoint, request: &PendingRequest) -> f64 {
         let (tier, class) = (endpoint.member.tier, request.arrival.class);
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -189,3 +189,19 @@
     let new = created(NOW + Duration::from_millis(1));
     assert_eq!(refusal(&router, NOW + SECOND, &id, &new), None);
 }
+
+#[test]
+fn a_local_copy_is_refused_while_discovery_is_silent_and_accepted_once_it_is_back() {
+    let (mut router, id) = router(Effect::Idempotent);
+    end_attempt(&mut router, &id, false);
+    let copy = Route {
+        copy_created_at: Some(NOW - SECOND * 10),
+        ..route("cache-2")
+    };
+    let refused = refusal(&router, NOW, &id, &copy);
+    assert_eq!(refused, Some(Refusal::PurgesUnconfirmed));
+    // Servers remove purged copies by themselves.
+    assert_eq!(refusal(&router, NOW, &id, &route("cache-2")), None);
+    router.confirm_discovery(NOW);
+    assert_eq!(refusal(&router, NOW, &id, &copy), None);
+}
--- a/src/purge/tests.rs
+++ b/src/purge/tests.rs
@@ -7,7 +7,7 @@
 /// counts.
 #[test]
 fn purges_are_removed_once_complete_and_not_before() {
-    let mut log = PurgeLog::new(SECOND * 6);
+    let mut log = PurgeLog::new(NOW, SECOND * 6);
     let (x, y): (Id, Id) = ("x".into(), "y".into());
     let scope = PurgeScope::Object(x.clone());
     log.record(NOW, NOW, Some(x.clone()), 0);
@@ -24,7 +24,7 @@
 
 #[test]
 fn the_copy_age_is_limited_from_a_purge_until_its_completion() {
-    let mut log = PurgeLog::new(SECOND * 6);
+    let mut log = PurgeLog::new(NOW, SECOND * 6);
     let arrival = IncomingRequest {
         object: "x".into(),
         group: 7,
@@ -37,3 +37,22 @@
     assert_eq!(log.max_age(NOW + SECOND * 4, &arrival), Some(SECOND * 3));
     assert_eq!(log.max_age(NOW + SECOND * 7, &arrival), None);
 }
+
+/// Without reports of discovery a purge may have been missed: a local copy of that time could be
+/// the purged one.
+#[test]
+fn local_copies_are_used_for_two_seconds_after_the_last_report_of_discovery() {
+    let mut log = PurgeLog::new(NOW, SECOND * 6);
+    let allows = |log: &PurgeLog, now, created_at| log.allows_local_copy(now, created_at);
+    let before = NOW - SECOND * 60;
+    let almost = SECOND * 2 - Duration::from_micros(1);
+    assert!(allows(&log, NOW + almost, before));
+    assert!(!allows(&log, NOW + SECOND * 2, before));
+    log.confirm_complete(NOW + SECOND);
+    // A report that was read late does not take back a later one.
+    log.confirm_complete(NOW);
+    assert!(allows(&log, NOW + SECOND + almost, before));
+    assert!(!allows(&log, NOW + SECOND * 3, before));
+    assert!(allows(&log, NOW + SECOND * 3, NOW + SECOND * 2));
+    assert!(!allows(&log, NOW + SECOND * 4, NOW + SECOND * 2));
+}
--- a/src/router.rs
+++ b/src/router.rs
@@ -94,7 +94,7 @@
             passes_through: deployment.pass_through,
             joins_fills: deployment.joins_fills,
             slow_start: SlowStart::new(now, deployment, routers_in_zone),
-            purges: PurgeLog::new(deployment.purge_done + max_action_delay),
+            purges: PurgeLog::new(now, deployment.purge_done + max_action_delay),
             random: fastrand::Rng::with_seed(deployment.seed),
             ..Router::default()
         }
@@ -215,6 +215,12 @@
         self.purges.record(now, purged_at, object, group);
     }
 
+    /// Handles a report of discovery that it has sent all of its events up to `as_of`. Without such
+    /// reports local copies are not used: purges may have been missed.
+    pub fn confirm_discovery(&mut self, as_of: Duration) {
+        self.purges.confirm_complete(as_of);
+    }
+
     /// Handles the gossip of another router of the zone that a cache holds a part or was asked to
     /// keep it. The next access here counts as a repeated one, and is not expected to fill.
     pub fn record_peer_finding(&mut self, now: Duration, part: u32, cache: Id) {
--- a/tests/oracle/simulation.rs
+++ b/tests/oracle/simulation.rs
@@ -474,7 +474,7 @@
                     break;
                 };
                 let entry = self.in_flight.remove(n);
-                self.recorder.now = self.recorder.now.max(at);
+                self.set_now(self.recorder.now.max(at));
                 if entry.ended.is_complete {
                     self.pending.retain(|id| *id != entry.request);
                 }
@@ -491,12 +491,18 @@
                     break;
                 };
                 self.recorder.timers.pop_first();
-                self.recorder.now = self.recorder.now.max(at);
+                self.set_now(self.recorder.now.max(at));
                 let now = self.recorder.now;
                 self.router.wake(now, timer_id, &mut self.recorder);
             }
         }
-        self.recorder.now = until;
+        self.set_now(until);
+    }
+
+    /// Advances the time. Discovery is up throughout.
+    fn set_now(&mut self, now: Duration) {
+        self.recorder.now = now;
+        self.router.confirm_discovery(now);
     }
 
     fn part(&mut self) -> (Id, u64, u64) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -9,6 +9,7 @@
 //!   requests COUNT ID [..]        several at once: ID0, ID1.., each for its own object unless one is named
 //!   result ID N OUTCOME [REMARK] [over] [waited=MS] [took=MS]      results COUNT ID N ..  for ID0, ID1..
 //!   left ID      begun ID      purge [object=X group=0 ago=0]      told SERVER object=X [part=0]
+//!   discovery down      discovery up      it confirms all the time, unless it is down, that all was sent
 //! Assertions on the actions since the start or the last `clear`:
 //!   expect PATTERN                an action matches, after those expected before; `*` is any word or the
 //!                                 rest, $X is bound to a word at first and stands for it afterwards
@@ -291,6 +292,7 @@
     /// The index of the recorded line from which the next expectation is searched.
     search_from: usize,
     router: Option<Router>,
+    is_discovery_down: bool,
 }
 
 impl Scenario {
@@ -302,6 +304,7 @@
             now: ms(1000),
             search_from: 0,
             router: None,
+            is_discovery_down: false,
         }
     }
 
@@ -334,6 +337,7 @@
             "never" => self.never(line),
             "count" => self.count(line),
             "own" => self.local_copies(line),
+            "discovery" => self.is_discovery_down = line.words == ["down"],
             _ => self.apply_event(line),
         }
     }
@@ -381,15 +385,23 @@
     }
 
     fn advance_to(&mut self, until: Duration) {
-        let router = self.router.as_mut().expect("started");
         while let Some((&(at, timer_id), ())) = self.recorder.timers.first_key_value()
             && at <= until
         {
             self.recorder.timers.pop_first();
-            self.now = self.now.max(at);
+            self.set_now(self.now.max(at));
+            let router = self.router.as_mut().expect("started");
             router.wake(self.now, timer_id, &mut self.recorder);
         }
-        self.now = until;
+        self.set_now(until);
+    }
+
+    fn set_now(&mut self, now: Duration) {
+        self.now = now;
+        if !self.is_discovery_down {
+            let router = self.router.as_mut().expect("started");
+            router.confirm_discovery(now);
+        }
     }
 
     fn request(&mut self, line: &Line) {
