Requests that are over leave no timers, so withdrawn ones take no memory

Cause: a timer was kept until it was due though its request was over, as a callback in src/timers.rs and as an entry of the dispatcher's heap. Admission counts only what is open.

Change: a request keeps the ids of its timers; where it is closed they are cancelled, also at the front end by ActionSink::cancel_timer (the dispatcher's heap is an ordered set now).

Every way to the end of a request passes close.

Tests: withdrawn_requests_leave_no_timers, requests_that_are_served_rejected_or_failed_leave_no_timers, a_cancelled_timer_that_fires_all_the_same_has_no_effect, withdrawn_requests_leave_neither_timers_nor_entries; program: memory_does_not_grow_with_the_requests_that_a_client_withdraws. The soak's reading of memory moved to RouterProcess.

--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -39,7 +39,7 @@
 use dispatcher::{Dispatcher, FinalOutcome};
 use requests::RequestTable;
 use servers::ServerHandles;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
@@ -114,7 +114,7 @@
             clock,
             requests: RequestTable::default(),
             servers: ServerHandles::new(server_actor_factory(&limits, mailbox)),
-            timers: BinaryHeap::new(),
+            timers: BTreeSet::new(),
             local_results: VecDeque::new(),
             maybe_finished: Vec::new(),
             final_outcomes: Vec::new(),
--- a/crates/router/src/decider/dispatcher.rs
+++ b/crates/router/src/decider/dispatcher.rs
@@ -11,8 +11,7 @@
 use crate::rate_limited_log::RateLimitedLog;
 use crate::server_protocol::Answer;
 use chalkhall::interface::{ActionSink, Fill, Id, LocalCopy, Outcome};
-use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
 /// The result of a client's request.
@@ -44,8 +43,8 @@
     pub(super) clock: Clock,
     pub(super) requests: RequestTable,
     pub(super) servers: ServerHandles,
-    /// When each timer of the routing logic fires, and its id.
-    pub(super) timers: BinaryHeap<Reverse<(Duration, u64)>>,
+    /// When each timer of the routing logic fires, and its id; the next one first.
+    pub(super) timers: BTreeSet<(Duration, u64)>,
     /// Results of attempts that ended without a server: not sent, or made at the local cache.
     pub(super) local_results: VecDeque<AttemptEnded>,
     /// Requests that are removed from the table if all their attempts have ended.
@@ -255,7 +254,11 @@
     }
 
     fn set_timer(&mut self, at: Duration, timer_id: u64) {
-        self.timers.push(Reverse((at, timer_id)));
+        self.timers.insert((at, timer_id));
+    }
+
+    fn cancel_timer(&mut self, at: Duration, timer_id: u64) {
+        self.timers.remove(&(at, timer_id));
     }
 
     fn subscribe_list(&mut self) {
--- a/crates/router/src/decider/event_loop.rs
+++ b/crates/router/src/decider/event_loop.rs
@@ -4,7 +4,6 @@
 use crate::discovery_events::DiscoveryEvent;
 use crate::lifecycle::Phase;
 use crate::messages::{Message, OperatorQuery};
-use std::cmp::Reverse;
 use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -68,11 +67,11 @@
     }
 
     fn fire_timers(&mut self) {
-        while let Some(Reverse((at, timer))) = self.dispatcher.timers.peek().copied() {
+        while let Some((at, timer)) = self.dispatcher.timers.first().copied() {
             if at > self.dispatcher.now {
                 break;
             }
-            self.dispatcher.timers.pop();
+            self.dispatcher.timers.pop_first();
             let now = self.dispatcher.now;
             self.router.wake(now, timer, &mut self.dispatcher);
             self.process_completions();
@@ -86,7 +85,7 @@
 
     fn next_wakeup(&self) -> Duration {
         let now = self.dispatcher.now;
-        let timer = self.dispatcher.timers.peek().map(|Reverse((at, _))| *at);
+        let timer = self.dispatcher.timers.first().map(|(at, _)| *at);
         let phase = self.phase.borrow().next_check(now);
         let wakeups = [timer, phase, self.subsystems_wakeup()];
         let earliest = wakeups.into_iter().flatten().min();
--- a/crates/router/src/decider/tests.rs
+++ b/crates/router/src/decider/tests.rs
@@ -4,10 +4,11 @@
 use crate::discovery_events::{DiscoveredServer, DiscoveryEvent};
 use crate::messages::fixtures::attempt_id;
 use crate::messages::{
-    AttemptRequest, CancellationFlag, ClientReply, FinalAnswer, NewRequest, ServerCommand,
+    AttemptEnded, AttemptRequest, CancellationFlag, ClientReply, FinalAnswer, NewRequest,
+    ServerCommand,
 };
 use crate::server_protocol::ForwardedFields;
-use chalkhall::interface::{Fill, Id, IncomingRequest};
+use chalkhall::interface::{Fill, Id, IncomingRequest, Outcome, Tier};
 
 fn start_decider(phase: Phase) -> (Decider, mpsc::Sender<Message>, watch::Receiver<Phase>) {
     let (phase, phase_receiver) = watch::channel(phase);
@@ -202,3 +203,47 @@
     };
     tokio::task::LocalSet::new().run_until(test).await;
 }
+
+/// Guards against memory that grows with withdrawn requests: nothing of them is kept until their
+/// deadlines.
+#[tokio::test(flavor = "current_thread")]
+async fn withdrawn_requests_leave_neither_timers_nor_entries() {
+    let test = async {
+        let (mut decider, _messages, _phase) = start_decider(Phase::Serving);
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let server = |name: &str, tier| DiscoveredServer {
+            member: Member {
+                server: name.into(),
+                tier,
+                capacity: 100.0,
+                ..Member::default()
+            },
+            address: listener.local_addr().unwrap(),
+        };
+        decider.apply_discovery_event(DiscoveryEvent::List {
+            is_snapshot: true,
+            servers: vec![server("c1", Tier::Cache), server("o1", Tier::Origin)],
+        });
+        let (client, _answers) = mpsc::channel(8);
+        for tag in 1..=100 {
+            let new = NewRequest {
+                received_after: decider.dispatcher.clock.now(),
+                ..new_request(tag, &client)
+            };
+            let id = new.arrival.id.clone();
+            decider.handle(Message::Request(Box::new(new)));
+            assert!(!decider.dispatcher.timers.is_empty(), "no deadline is set");
+            assert_eq!(decider.dispatcher.requests.len(), 1, "it was not sent");
+            decider.handle(Message::ClientLeft(id.clone(), tag, client.clone()));
+            assert!(decider.dispatcher.timers.is_empty());
+            let ended = AttemptEnded {
+                attempt: attempt_id(&id, 0),
+                outcome: Outcome::Cancelled,
+                answer: None,
+            };
+            decider.handle(Message::AttemptEnded(ended));
+            assert_eq!(decider.dispatcher.requests.len(), 0);
+        }
+    };
+    tokio::task::LocalSet::new().run_until(test).await;
+}
--- a/crates/router/tests/program/main.rs
+++ b/crates/router/tests/program/main.rs
@@ -14,6 +14,7 @@
 mod forwarding;
 mod local_cache;
 mod local_failures;
+mod memory;
 mod moments;
 mod pauses;
 mod quiet_then_faults;
--- a/crates/router/tests/program/soak.rs
+++ b/crates/router/tests/program/soak.rs
@@ -50,19 +50,6 @@
     }
 }
 
-/// Resident memory of a process in KB.
-fn resident_kb(process: u32) -> u64 {
-    let text = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap();
-    let line = text
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))
-        .expect("VmRSS");
-    line.split_whitespace()
-        .next()
-        .and_then(|kb| kb.parse().ok())
-        .expect("KB")
-}
-
 #[test]
 fn memory_stays_bounded_under_new_clients_objects_and_servers() {
     let seconds = std::env::var("SOAK_SECONDS")
@@ -120,7 +107,7 @@
                 }
             }
         }
-        quarters.push(resident_kb(router.id()));
+        quarters.push(router.resident_kb());
     }
     stopped.store(true, Ordering::Relaxed);
     threads
--- a/crates/router/tests/program/support/router_process.rs
+++ b/crates/router/tests/program/support/router_process.rs
@@ -104,6 +104,25 @@
             .count()
     }
 
+    /// Its resident memory in KB, with the pages of files.
+    pub fn resident_kb(&self) -> u64 {
+        self.status_kb("VmRSS:")
+    }
+
+    /// Its resident memory in KB, without the pages of files.
+    pub fn anonymous_kb(&self) -> u64 {
+        self.status_kb("RssAnon:")
+    }
+
+    /// A line of `/proc/PID/status` in KB.
+    fn status_kb(&self, name: &str) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.id())).unwrap();
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        let number = value.and_then(|value| value.split_whitespace().next());
+        let kb = number.and_then(|number| number.parse().ok());
+        kb.unwrap_or_else(|| panic!("no {name} in the status of the router"))
+    }
+
     /// Waits until it exits.
     pub fn wait_for_exit(&mut self) -> RouterExit {
         let mut status = None;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -403,6 +403,9 @@
     fn cancel(&mut self, request: &Id, attempt: usize);
     /// Schedules a call of `wake` with this timer ID at time `at` or later.
     fn set_timer(&mut self, at: Duration, timer_id: u64);
+    /// Cancels a timer that was set for `at`, as its request is finished. A front end that cannot
+    /// cancel timers may ignore this: `wake` has no effect for a cancelled timer.
+    fn cancel_timer(&mut self, _at: Duration, _timer_id: u64) {}
     /// Subscribes to changes of the endpoint list, where it is delivered only on request.
     fn subscribe_list(&mut self);
     /// The local copy for this request; `None` if there is none, or if it is not known to be
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -206,10 +206,14 @@
         is_certain && self.is_safe_to_retry(now, request, &RetryTarget::Client)
     }
 
-    /// Cancels the open attempts of a finished request, and removes the request when all have
-    /// ended.
+    /// Cancels the timers and the open attempts of a finished request, and removes the request when
+    /// all attempts have ended.
     pub(crate) fn close(&mut self, context: &mut EventContext, id: &Id) {
-        let Some(request) = self.requests.get(id).filter(|r| r.is_finished) else {
+        if !self.requests.get(id).is_some_and(|r| r.is_finished) {
+            return;
+        }
+        self.cancel_timers(context, id);
+        let Some(request) = self.requests.get(id) else {
             return;
         };
         if self.may_cancel {
@@ -223,3 +227,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/request.rs
+++ b/src/request.rs
@@ -89,6 +89,8 @@
     pub failed_servers: Vec<Id>,
     /// Errors that count against their servers once another server has answered the request.
     pub suspected_errors: Vec<SuspectedError>,
+    /// The ids of its timers, which are cancelled when it is finished; some may have fired.
+    pub timers: Vec<u64>,
 }
 
 impl PendingRequest {
--- a/src/router.rs
+++ b/src/router.rs
@@ -59,7 +59,7 @@
     pub(crate) coalescing: Coalescing,
     pub(crate) attempt_timeout: AdaptiveTimeout,
     pub(crate) requests: HashMap<Id, PendingRequest>,
-    timers: Timers,
+    pub(crate) timers: Timers,
     random: fastrand::Rng,
     /// The total number of servers considered by selections.
     #[cfg(test)]
@@ -168,6 +168,7 @@
             possible_execution: None,
             failed_servers: Vec::new(),
             suspected_errors: Vec::new(),
+            timers: Vec::new(),
             arrival,
         }
     }
@@ -274,8 +275,26 @@
         delay: Duration,
         callback: TimerCallback,
     ) {
-        let id = self.timers.set(callback);
-        context.actions.set_timer(context.now + delay, id);
+        let due = context.now + delay;
+        let request = callback.request().cloned();
+        let id = self.timers.set(due, callback);
+        if let Some(request) = request.and_then(|request| self.requests.get_mut(&request)) {
+            request.timers.push(id);
+        }
+        context.actions.set_timer(due, id);
+    }
+
+    /// Cancels the timers of a finished request. Otherwise they would be kept until they are due,
+    /// however many requests are withdrawn meanwhile.
+    pub(crate) fn cancel_timers(&mut self, context: &mut EventContext, id: &Id) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        for timer_id in std::mem::take(&mut request.timers) {
+            if let Some(due) = self.timers.cancel(timer_id) {
+                context.actions.cancel_timer(due, timer_id);
+            }
+        }
     }
 }
 
--- a/src/timers.rs
+++ b/src/timers.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::Id;
 use std::collections::HashMap;
+use std::time::Duration;
 
 /// The purpose of a timer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,24 +25,57 @@
     },
 }
 
+impl TimerCallback {
+    /// The request that the timer belongs to. Once it is finished, the timer has no effect.
+    pub fn request(&self) -> Option<&Id> {
+        match self {
+            TimerCallback::ReconnectList => None,
+            TimerCallback::RequestDeadline(request)
+            | TimerCallback::ResumeRequest(request)
+            | TimerCallback::FillQueueTimeout(request)
+            | TimerCallback::AttemptTimeout { request, .. } => Some(request),
+        }
+    }
+}
+
+/// A timer that has neither fired nor been cancelled.
+#[derive(Debug)]
+struct PendingTimer {
+    due: Duration,
+    callback: TimerCallback,
+}
+
 /// The pending timers, by id.
 #[derive(Debug, Default)]
 pub struct Timers {
-    callbacks: HashMap<u64, TimerCallback>,
+    pending: HashMap<u64, PendingTimer>,
     last_id: u64,
 }
 
 impl Timers {
-    /// Sets a timer and returns its id.
-    pub fn set(&mut self, callback: TimerCallback) -> u64 {
+    /// Sets a timer that fires at `due`, and returns its id.
+    pub fn set(&mut self, due: Duration, callback: TimerCallback) -> u64 {
         self.last_id += 1;
-        self.callbacks.insert(self.last_id, callback);
+        self.pending
+            .insert(self.last_id, PendingTimer { due, callback });
         self.last_id
     }
 
-    /// Removes the callback of a timer that has fired; `None` if it has fired before.
+    /// Removes the callback of a timer that fires; `None` if it has fired before or was cancelled.
     pub fn fire(&mut self, id: u64) -> Option<TimerCallback> {
-        self.callbacks.remove(&id)
+        self.pending.remove(&id).map(|timer| timer.callback)
+    }
+
+    /// Removes a timer before it fires. Returns the time at which it would have fired; `None` if it
+    /// has fired or was cancelled before.
+    pub fn cancel(&mut self, id: u64) -> Option<Duration> {
+        self.pending.remove(&id).map(|timer| timer.due)
+    }
+
+    /// The number of pending timers.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.pending.len()
     }
 }
 
