Withdrawn requests leave the fill queue and shared fills at once

Ids of requests that are over were also kept in the queue for fill slots until a slot was free, and among the waiters of a shared fill until its leader ended; each of the latter then set a timer.

Change: a request keeps its places (src/wait_queue.rs) and leaves them where it is closed. That other requests have waited for a fill still raises the priority of its copy, also if they have left (is_shared).

Evidence: with leave_queues taken out, withdrawn_requests_leave_the_queue_for_a_fill_slot and withdrawn_requests_leave_the_fill_that_they_waited_for fail. Shown in unit tests only, not on processes.

--- a/src/fill_limiter.rs
+++ b/src/fill_limiter.rs
@@ -5,6 +5,7 @@
 //! out has used their capacity for nothing.
 
 use crate::interface::Id;
+use crate::wait_queue::{Ticket, WaitQueue};
 use std::time::Duration;
 
 /// The factor by which a backoff reduces the limit.
@@ -61,7 +62,7 @@
     limit: f64,
     last_backoff_at: Duration,
     recent: LateFillWindow,
-    queue: Vec<Id>,
+    queue: WaitQueue,
 }
 
 impl Default for FillLimiter {
@@ -71,7 +72,7 @@
             limit: f64::INFINITY,
             last_backoff_at: Duration::ZERO,
             recent: LateFillWindow::default(),
-            queue: Vec::new(),
+            queue: WaitQueue::default(),
         }
     }
 }
@@ -120,14 +121,19 @@
         self.last_backoff_at = now;
     }
 
-    /// Adds a request to the queue for a slot.
-    pub fn enqueue(&mut self, request: &Id) {
-        self.queue.push(request.clone());
+    /// Adds a request to the queue for a slot. Returns its place in the queue.
+    pub fn enqueue(&mut self, request: &Id) -> Ticket {
+        self.queue.push(request)
     }
 
-    /// Whether a request is queued for a slot.
-    pub fn is_queued(&self, request: &Id) -> bool {
-        self.queue.contains(request)
+    /// Whether the request with this ticket is queued for a slot.
+    pub fn is_queued(&self, ticket: Ticket) -> bool {
+        self.queue.contains(ticket)
+    }
+
+    /// Removes a request that does not need a slot any more from the queue.
+    pub fn leave_queue(&mut self, ticket: Ticket) {
+        self.queue.remove(ticket);
     }
 
     /// Removes the request with the highest value per unit of work from the queue, if a slot is
@@ -137,12 +143,16 @@
             return None;
         }
         self.queue.retain(|request| value(request).is_some());
-        let values = self.queue.iter().map(&value);
-        let values = values
-            .enumerate()
-            .filter_map(|(n, value)| Some((n, value?)));
+        let queued = self.queue.iter();
+        let values = queued.filter_map(|(ticket, request)| Some((ticket, value(request)?)));
         let (best, _) = values.max_by(|(_, a), (_, b)| a.total_cmp(b))?;
-        Some(self.queue.remove(best))
+        self.queue.remove(best)
+    }
+
+    /// The number of queued requests.
+    #[cfg(test)]
+    pub fn queue_length(&self) -> usize {
+        self.queue.len()
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,3 +56,4 @@
 mod selection;
 mod slow_start;
 mod timers;
+mod wait_queue;
--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -113,7 +113,7 @@
         {
             return false;
         }
-        self.coalescing.wait(part, id);
+        request.waiter_place = self.coalescing.wait(part, id);
         let delay = (latest_start - context.now) / 2;
         self.set_timer(context, delay, TimerCallback::ResumeRequest(id.clone()));
         true
@@ -125,15 +125,15 @@
         let Some(request) = self.requests.get(id) else {
             return;
         };
-        let waiters = self.coalescing.complete(part_key(&request.arrival), id);
+        let completed = self.coalescing.complete(part_key(&request.arrival), id);
         // A part that other requests waited for has been requested more than once.
-        let min_priority = u8::from(!waiters.is_empty());
+        let min_priority = u8::from(completed.is_shared);
         let retention_priority = request.retention_priority.max(min_priority);
         let is_cacheable = self.classes[request.arrival.class].cacheable;
         if served && retention_priority > 0 && is_cacheable {
             context.actions.keep_local_copy(id, retention_priority);
         }
-        for waiter in waiters {
+        for waiter in completed.waiters {
             let resume = TimerCallback::ResumeRequest(waiter);
             self.set_timer(context, Duration::ZERO, resume);
         }
@@ -148,11 +148,22 @@
         if context.now >= latest_start {
             return self.finish(context, id);
         }
-        self.fill_limiter.enqueue(id);
+        if !self.is_queued_for_fill(id) {
+            let ticket = self.fill_limiter.enqueue(id);
+            if let Some(request) = self.requests.get_mut(id) {
+                request.fill_ticket = Some(ticket);
+            }
+        }
         let timeout = TimerCallback::FillQueueTimeout(id.clone());
         self.set_timer(context, latest_start - context.now, timeout);
     }
 
+    /// Whether a request waits for a fill slot.
+    pub(crate) fn is_queued_for_fill(&self, id: &Id) -> bool {
+        let ticket = self.requests.get(id).and_then(|r| r.fill_ticket);
+        ticket.is_some_and(|ticket| self.fill_limiter.is_queued(ticket))
+    }
+
     /// Resumes queued requests while slots are free, the highest value per unit of work first.
     pub(crate) fn dequeue_fills(&mut self, context: &mut EventContext) {
         loop {
@@ -206,6 +217,20 @@
         is_certain && self.is_safe_to_retry(now, request, &RetryTarget::Client)
     }
 
+    /// Removes a finished request from the queues in which it waits, so that they do not grow with
+    /// the requests that are withdrawn.
+    fn leave_queues(&mut self, id: &Id) {
+        let Some(request) = self.requests.get_mut(id) else {
+            return;
+        };
+        if let Some(ticket) = request.fill_ticket.take() {
+            self.fill_limiter.leave_queue(ticket);
+        }
+        if let Some(place) = request.waiter_place.take() {
+            self.coalescing.leave(place);
+        }
+    }
+
     /// Cancels the timers and the open attempts of a finished request, and removes the request when
     /// all attempts have ended.
     pub(crate) fn close(&mut self, context: &mut EventContext, id: &Id) {
@@ -213,6 +238,7 @@
             return;
         }
         self.cancel_timers(context, id);
+        self.leave_queues(id);
         let Some(request) = self.requests.get(id) else {
             return;
         };
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -1,5 +1,7 @@
 //! What is left of requests that are finished: nothing, however many there were.
 
+use crate::admission::part_key;
+use crate::fill_limiter::FillResult;
 use crate::interface::*;
 use crate::router::Router;
 use std::collections::BTreeSet;
@@ -161,3 +163,60 @@
     assert_eq!(front_end.timers.len(), 0);
     assert_eq!(front_end.attempts.len(), 1);
 }
+
+/// Guards against memory that grows with withdrawn requests while no fill slot is free.
+#[test]
+fn withdrawn_requests_leave_the_queue_for_a_fill_slot() {
+    let mut front_end = FrontEnd::default();
+    let mut router = router(&mut front_end);
+    request(&mut router, &mut front_end, 0, 0);
+    // One late fill: the limit backs off below the number in flight.
+    router
+        .fill_limiter
+        .record_result(NOW, FillResult::Late, || 1.0);
+    (0..3).for_each(|_| router.fill_limiter.acquire());
+    front_end.attempts.clear();
+    for n in 1..=REQUESTS {
+        let id = request(&mut router, &mut front_end, n, 0);
+        assert_eq!(front_end.attempts, [], "it was sent");
+        assert_eq!(router.fill_limiter.queue_length(), 1);
+        router.client_left(NOW, &id, &mut front_end);
+        assert_eq!(router.fill_limiter.queue_length(), 0);
+    }
+    assert_eq!(router.requests.len(), 1);
+}
+
+/// Guards against memory that grows with withdrawn requests while one server delays a fill.
+#[test]
+fn withdrawn_requests_leave_the_fill_that_they_waited_for() {
+    let mut front_end = FrontEnd::default();
+    let mut router = router(&mut front_end);
+    let local_cache = Member {
+        server: "memory".into(),
+        tier: Tier::Local,
+        capacity: 10.0,
+        ..Member::default()
+    };
+    router.update_list(NOW, ListKind::Changes, &[local_cache], &mut front_end);
+    let arrival = |id: &str| IncomingRequest {
+        id: id.into(),
+        object: "object".into(),
+        kb: 20.0,
+        time_left: LONG_DEADLINE,
+        ..IncomingRequest::default()
+    };
+    let leader = arrival("leader");
+    let part = part_key(&leader);
+    router.request(NOW, leader, &mut front_end);
+    assert_eq!(front_end.attempts.len(), 1);
+    for n in 0..REQUESTS {
+        let waiter = arrival(&format!("waiter-{n}"));
+        let id = waiter.id.clone();
+        router.request(NOW, waiter, &mut front_end);
+        assert_eq!(front_end.attempts.len(), 1, "it was sent");
+        assert_eq!(router.coalescing.waiter_count(part), 1);
+        router.client_left(NOW, &id, &mut front_end);
+        assert_eq!(router.coalescing.waiter_count(part), 0);
+    }
+    assert_eq!(router.requests.len(), 1);
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,7 +1,9 @@
 //! The state of one request, from its arrival to the end of its last attempt.
 
+use crate::coalescing::WaiterPlace;
 use crate::interface::{Id, IncomingRequest};
 use crate::retry::PossibleExecution;
+use crate::wait_queue::Ticket;
 use std::time::Duration;
 
 /// The expected time of an answer in addition to its sending time.
@@ -89,6 +91,10 @@
     pub failed_servers: Vec<Id>,
     /// Errors that count against their servers once another server has answered the request.
     pub suspected_errors: Vec<SuspectedError>,
+    /// Its place in the queue for a fill slot, which it may have left.
+    pub fill_ticket: Option<Ticket>,
+    /// Its place among the waiters of another request's fill, which may have been completed.
+    pub waiter_place: Option<WaiterPlace>,
     /// The ids of its timers, which are cancelled when it is finished; some may have fired.
     pub timers: Vec<u64>,
 }
--- a/src/router.rs
+++ b/src/router.rs
@@ -168,6 +168,8 @@
             possible_execution: None,
             failed_servers: Vec::new(),
             suspected_errors: Vec::new(),
+            fill_ticket: None,
+            waiter_place: None,
             timers: Vec::new(),
             arrival,
         }
@@ -259,7 +261,7 @@
             TimerCallback::RequestDeadline(id) => self.finish(context, &id),
             TimerCallback::ResumeRequest(id) => self.advance(context, &id),
             TimerCallback::FillQueueTimeout(id) => {
-                if self.fill_limiter.is_queued(&id) {
+                if self.is_queued_for_fill(&id) {
                     self.finish(context, &id);
                 }
             }
