Stand-ins send heartbeats in the platform's form; one set-up for discovery tests

Need: harness and program tests spoke only the bare number, which hid that the platform's form was not recognised. Change: the harness and RunningDiscovery send {"rev":N}; the demo and FakeDiscovery's tests keep the bare form, so both are covered. The set-up of discovery's actor tests stood four times and is one function now.

--- a/crates/harness/src/run.rs
+++ b/crates/harness/src/run.rs
@@ -638,7 +638,7 @@
             Timer::FaultEnd(n) => self.end_fault(n),
             Timer::FaultStep(n, targets) => self.step_fault(n, targets),
             Timer::DiscoveryHeartbeat => {
-                let line = Bytes::from(format!("{}\n", self.discovery_events.len()));
+                let line = Bytes::from(format!("{{\"rev\":{}}}\n", self.discovery_events.len()));
                 for router in self
                     .routers
                     .iter()
--- a/crates/router/src/discovery/tests.rs
+++ b/crates/router/src/discovery/tests.rs
@@ -23,6 +23,23 @@
     }
 }
 
+/// Follows the service at this address. Returns the clock of the actor, and its channel for a new
+/// configuration.
+fn follow(
+    address: SocketAddr,
+    decider: mpsc::Sender<DiscoveryEvent>,
+) -> (Clock, mpsc::Sender<NewDiscovery>) {
+    let discovery = Discovery {
+        address,
+        decider,
+        ..new_discovery(1)
+    };
+    let clock = discovery.clock;
+    let (reconfigure, reconfigured) = mpsc::channel(1);
+    tokio::task::spawn_local(discovery.run(reconfigured));
+    (clock, reconfigure)
+}
+
 /// The routers of a fleet that has lost its discovery service do not all reconnect at once.
 #[test]
 fn reconnects_of_different_routers_are_spread_by_jitter() {
@@ -220,21 +237,14 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_heartbeat_bounds_the_timestamps_of_later_events_on_its_connection() {
     use tokio::net::TcpListener;
-    use tokio::task::{LocalSet, spawn_local};
+    use tokio::task::LocalSet;
 
     const HOUR_MS: u64 = 3_600_000;
 
     let test = async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (decider, mut events) = mpsc::channel(4);
-        let discovery = Discovery {
-            address: listener.local_addr().unwrap(),
-            decider,
-            ..new_discovery(1)
-        };
-        let clock = discovery.clock;
-        let (_reconfigure, reconfigured) = mpsc::channel(1);
-        spawn_local(discovery.run(reconfigured));
+        let (clock, _reconfigure) = follow(listener.local_addr().unwrap(), decider);
         let hour_ago = clock.unix_ms(clock.now()) - HOUR_MS;
         let event = |number: u64| {
             format!("{{\"rev\":{number},\"flush\":{{\"collection\":7,\"ms\":{hour_ago}}}}}\n")
@@ -287,14 +297,7 @@
     let test = async {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let (decider, mut events) = mpsc::channel(2);
-        let discovery = Discovery {
-            address: listener.local_addr().unwrap(),
-            decider,
-            ..new_discovery(1)
-        };
-        let clock = discovery.clock;
-        let (_reconfigure, reconfigured) = mpsc::channel(1);
-        tokio::task::spawn_local(discovery.run(reconfigured));
+        let (clock, _reconfigure) = follow(listener.local_addr().unwrap(), decider);
         run_other_tasks().await;
         let (mut stream, _) = listener.accept().unwrap();
         // The decider takes two events; the third one waits, and the heartbeat behind it is unread.
@@ -337,13 +340,7 @@
     let test = |heartbeat: &'static str| async move {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
         let (decider, mut events) = mpsc::channel(4);
-        let discovery = Discovery {
-            address: listener.local_addr().unwrap(),
-            decider,
-            ..new_discovery(1)
-        };
-        let (_reconfigure, reconfigured) = mpsc::channel(1);
-        tokio::task::spawn_local(discovery.run(reconfigured));
+        let (_, _reconfigure) = follow(listener.local_addr().unwrap(), decider);
         run_other_tasks().await;
         let (mut stream, _) = listener.accept().unwrap();
         listener.set_nonblocking(true).unwrap();
@@ -373,18 +370,12 @@
 #[tokio::test(flavor = "current_thread")]
 async fn a_heartbeat_ahead_of_the_last_event_requests_the_missed_events() {
     use tokio::net::TcpListener;
-    use tokio::task::{LocalSet, spawn_local};
+    use tokio::task::LocalSet;
 
     let test = |heartbeat: &'static str| async move {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let (decider, _events) = mpsc::channel(4);
-        let discovery = Discovery {
-            address: listener.local_addr().unwrap(),
-            decider,
-            ..new_discovery(1)
-        };
-        let (_reconfigure, reconfigured) = mpsc::channel(1);
-        spawn_local(discovery.run(reconfigured));
+        let (_, _reconfigure) = follow(listener.local_addr().unwrap(), decider);
         let mut lines = Vec::new();
         for _ in 0..2 {
             let (stream, _) = listener.accept().await.unwrap();
--- a/crates/router/tests/program/support/running_discovery.rs
+++ b/crates/router/tests/program/support/running_discovery.rs
@@ -4,6 +4,7 @@
 use super::fake_discovery::{FakeDiscovery, Watch};
 use super::loopback::try_accept;
 use super::wait::CHECK_INTERVAL;
+use serde_json::json;
 use std::net::TcpListener;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
@@ -137,6 +138,7 @@
             return true;
         }
         self.last_heartbeat = Some(Instant::now());
-        self.watch.try_send(&format!("{}\n", self.last_revision))
+        let heartbeat = json!({"rev": self.last_revision});
+        self.watch.try_send(&format!("{heartbeat}\n"))
     }
 }
