Memory test of withdrawn requests: warm up until bounded tables are filled

Cause: it began to measure after 12,800 requests, while pages of buffers and tables whose sizes are bounded were still used for the first time. Traced by counting live allocations by size: 0.25 MB in blocks of under 8 KB and 2.8 MB in larger ones, both level from about 20,000 requests on over 200,000. Own memory rose for 30,000 to 52,000 requests in four runs, and by 110 KB at most over the next 150,000 or so.

The warm-up is 76,800 requests now. What is measured afterwards, 51,200 requests and 16 bytes each, is as strict as before.

--- a/crates/router/tests/program/memory.rs
+++ b/crates/router/tests/program/memory.rs
@@ -7,8 +7,9 @@
 
 /// The number of open requests that a connection may carry.
 const OPEN_REQUESTS: u64 = 32;
-/// Requests withdrawn before the first measurement, by which buffers have reached their sizes.
-const WARM_UP_ROUNDS: u64 = 400;
+/// Requests withdrawn before the first measurement, by which every page of the buffers and tables
+/// whose sizes are bounded has been used once.
+const WARM_UP_ROUNDS: u64 = 2400;
 const ROUNDS: u64 = 1600;
 /// The limit for the growth of memory per withdrawn request. A timer alone takes more.
 const MAX_BYTES_PER_REQUEST: u64 = 16;
