A repeat is never sent after its dedup window: attempts carry the last time to be sent

Change: ActionSink::attempt takes AttemptLimits, whose send_within is the earliest of the shortest grace and the end of the dedup window. The grace moved from the adapter to the decision module. The connection ends what is past it as never sent, as before.

--- a/crates/cli/src/bin/proof-store/day.rs
+++ b/crates/cli/src/bin/proof-store/day.rs
@@ -223,7 +223,7 @@
 }
 
 impl ActionSink for Environment {
-    fn attempt(&mut self, _request: &Id, server: &Id, _limit: Duration, _fill: &Fill) {
+    fn attempt(&mut self, _request: &Id, server: &Id, _limits: AttemptLimits, _fill: &Fill) {
         let is_local = server.starts_with('m');
         let found = is_local.then(|| {
             let object = object_name(self.request.object);
--- a/crates/cli/src/bin/proof-store/timings.rs
+++ b/crates/cli/src/bin/proof-store/timings.rs
@@ -282,7 +282,7 @@
 }
 
 impl ActionSink for RequestRunner {
-    fn attempt(&mut self, _request: &Id, _server: &Id, _limit: Duration, _fill: &Fill) {
+    fn attempt(&mut self, _request: &Id, _server: &Id, _limits: AttemptLimits, _fill: &Fill) {
         let now = self.driver.now();
         let part = Part {
             object: &self.name,
--- a/crates/gossip/tests/stand_ins/mod.rs
+++ b/crates/gossip/tests/stand_ins/mod.rs
@@ -95,7 +95,7 @@
 }
 
 impl ActionSink for Commands {
-    fn attempt(&mut self, request: &Id, server: &Id, _limit: Duration, fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, _limits: AttemptLimits, fill: &Fill) {
         self.attempts
             .push((request.clone(), server.clone(), fill.clone()));
     }
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -59,9 +59,6 @@
 /// Scheduling rounds after which data that waited in the sockets has passed through the connection
 /// and server actors to the decider.
 const CATCH_UP_ROUNDS: usize = 8;
-/// How long after the decision the first byte of an attempt may be written, if the deployment sets
-/// no grace period.
-const DEFAULT_SEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// Idle connections are closed after this fraction of the server's idle timeout, so that the server
 /// does not close them first.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.8;
@@ -121,7 +118,6 @@
             local_cache,
             gossip,
             served_answer: None,
-            send_timeout: shortest_grace(deployment).unwrap_or(DEFAULT_SEND_TIMEOUT),
             unwritten_bytes: 0,
             open_attempts: 0,
             expected_body_bytes: INITIAL_EXPECTED_BODY_BYTES,
@@ -171,12 +167,5 @@
     }
 }
 
-/// The shortest grace period of a drain or a purge. An attempt that is written within this time
-/// after its decision is written before the grace period of any later drain or purge ends.
-fn shortest_grace(deployment: &Deployment) -> Option<Duration> {
-    let graces = [deployment.drain_grace, deployment.purge_grace];
-    graces.into_iter().filter(|grace| !grace.is_zero()).min()
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/router/src/decider/dispatcher.rs
+++ b/crates/router/src/decider/dispatcher.rs
@@ -10,7 +10,7 @@
 };
 use crate::rate_limited_log::RateLimitedLog;
 use crate::server_protocol::Answer;
-use chalkhall::interface::{ActionSink, Fill, Id, LocalCopy, Outcome};
+use chalkhall::interface::{ActionSink, AttemptLimits, Fill, Id, LocalCopy, Outcome};
 use std::collections::{BTreeSet, VecDeque};
 use std::time::Duration;
 
@@ -53,8 +53,6 @@
     pub(super) local_cache: Option<LocalCache>,
     pub(super) gossip: Option<Gossip>,
     pub(super) served_answer: Option<ServedAnswer>,
-    /// An attempt is not sent if its first byte is not written within this time after the decision.
-    pub(super) send_timeout: Duration,
     /// Bytes of bodies that have not been written to clients yet.
     pub(super) unwritten_bytes: usize,
     /// Attempts in progress; each may return a body.
@@ -156,7 +154,7 @@
         attempt: &AttemptId,
         request: &PendingRequest,
         server: &Id,
-        limit: Duration,
+        limits: AttemptLimits,
         fill: &Fill,
     ) -> Box<AttemptRequest> {
         Box::new(AttemptRequest {
@@ -166,8 +164,8 @@
             fill: fill.clone(),
             is_non_idempotent: request.is_non_idempotent,
             cancellation: request.cancellation.clone(),
-            deadline: self.clock.instant(self.now + limit),
-            send_by: self.clock.instant(self.now + self.send_timeout),
+            deadline: self.clock.instant(self.now + limits.duration),
+            send_by: self.clock.instant(self.now + limits.send_within),
         })
     }
 
@@ -185,7 +183,7 @@
 }
 
 impl ActionSink for Dispatcher {
-    fn attempt(&mut self, request: &Id, server: &Id, limit: Duration, fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, limits: AttemptLimits, fill: &Fill) {
         if self.attempt_at_local_cache(request, server) {
             return;
         }
@@ -196,7 +194,7 @@
             request: request.clone(),
             number: pending.attempts.len(),
         };
-        let attempt_request = self.attempt_request(&attempt_id, pending, server, limit, fill);
+        let attempt_request = self.attempt_request(&attempt_id, pending, server, limits, fill);
         let work = pending.arrival.kb / self.client_kb_per_s;
         if let Some(gossip) = &mut self.gossip {
             gossip.exchange.record_sent(server, work);
--- a/crates/router/tests/program/deadlines.rs
+++ b/crates/router/tests/program/deadlines.rs
@@ -2,6 +2,8 @@
 //! a request waits counts against the client's deadline.
 
 use crate::support::*;
+use serde_json::json;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// How much more time a server may be given than the client has left.
@@ -53,6 +55,69 @@
     assert_eq!(client.read_answer_word(), "ACK");
 }
 
+/// The servers drop repeats of `confirm` for two seconds. A repeat is decided on within it, but its
+/// connection is established only afterwards: it is never sent.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_the_dedup_window_is_not_sent() {
+    const DEDUP_WINDOW: Duration = Duration::from_secs(2);
+    let mut environment = environment_with_long_timeouts().with_server("o2", "origin");
+    let confirm = &mut environment.file["settings"]["Classes"][1];
+    assert_eq!(confirm["Name"], "confirm");
+    confirm["Effect"] = "token".into();
+    confirm["Window"] = json!(DEDUP_WINDOW.as_millis() as u64);
+    let router = environment.start();
+    let mut client = router.connect();
+    client.send_request(1, "confirm", "", b"");
+    let (first, mut connection) = accept_at_any(&environment.servers);
+    connection.read_request();
+    let sent_at = Instant::now();
+    let servers = environment.servers.iter();
+    let queues: Vec<_> = servers
+        .filter(|server| server.name != first)
+        .map(|server| (server, server.fill_accept_queue()))
+        .collect();
+    wait_until("the time of the reset", || sent_at.elapsed() > 1600 * MS);
+    connection.reset();
+    wait_until("the end of the window", || {
+        sent_at.elapsed() > DEDUP_WINDOW + SLACK
+    });
+    assert!(client.has_unread_data(), "no answer when the window ended");
+    // The kernel retransmits the SYN a second after the first one.
+    let mut late = Vec::new();
+    wait_until("the delayed connection", || {
+        for (server, queue) in &queues {
+            late.extend(accepted_except(server, queue));
+        }
+        !late.is_empty() && sent_at.elapsed() > 3500 * MS
+    });
+    for connection in late {
+        assert_eq!(received_text(connection), "", "sent after the window");
+    }
+}
+
+/// Waits until the router connects to one of these servers, and returns the server's name.
+fn accept_at_any(servers: &[FakeServer]) -> (String, LineConnection) {
+    let mut accepted = None;
+    wait_until("a connection", || {
+        accepted = servers.iter().find_map(|server| {
+            let stream = try_accept(&server.listener)?;
+            Some((server.name.clone(), LineConnection::new(stream)))
+        });
+        accepted.is_some()
+    });
+    accepted.unwrap()
+}
+
+/// Accepts what waits at a server, and returns the connections that do not belong to the queue.
+fn accepted_except(server: &FakeServer, queue: &[TcpStream]) -> Vec<TcpStream> {
+    let port = |stream: &TcpStream| stream.local_addr().unwrap().port();
+    let ports: Vec<u16> = queue.iter().map(port).collect();
+    let accepted = std::iter::from_fn(|| try_accept(&server.listener));
+    accepted
+        .filter(|stream| !ports.contains(&stream.peer_addr().unwrap().port()))
+        .collect()
+}
+
 /// During a pause a connection to a server is established, and then the client disconnects or
 /// cancels. The router resumes with both pending, and must not begin an attempt.
 #[test]
@@ -88,7 +153,7 @@
 }
 
 /// The text received on a connection so far.
-fn received_text(mut stream: std::net::TcpStream) -> String {
+fn received_text(mut stream: TcpStream) -> String {
     use std::io::Read;
     stream.set_nonblocking(true).unwrap();
     let mut bytes = Vec::new();
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -3,8 +3,8 @@
 
 use chalkhall::control::Router;
 use chalkhall::interface::{
-    ActionSink, AttemptResult, Fill, Id, IncomingRequest, ListKind, Load, Member, Outcome, Remark,
-    ServerState, Tier,
+    ActionSink, AttemptLimits, AttemptResult, Fill, Id, IncomingRequest, ListKind, Load, Member,
+    Outcome, Remark, ServerState, Tier,
 };
 use chalkhall_settings::{
     self as deployment, Fields, duration_from_ms, duration_to_ms, flag, number, string, unsigned,
@@ -38,13 +38,12 @@
 }
 
 impl<W: Write> ActionSink for ReplyWriter<'_, W> {
-    fn attempt(&mut self, request: &Id, server: &Id, limit: Duration, fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, limits: AttemptLimits, fill: &Fill) {
         let manner = u8::from(fill.may_join)
             | u8::from(fill.only_held) << 1
             | u8::from(!fill.parent_keeps) << 2
             | u8::from(fill.revalidate) << 3;
-        let mut fields =
-            json!({"OpId": &**request, "Server": &**server, "GiveUpAfter": duration_to_ms(limit)});
+        let mut fields = json!({"OpId": &**request, "Server": &**server, "GiveUpAfter": duration_to_ms(limits.duration)});
         fields["Source"] = (*fill.source).into();
         fields["Rank"] = fill.priority.into();
         fields["Manner"] = manner.into();
--- a/examples/decision_cost.rs
+++ b/examples/decision_cost.rs
@@ -83,7 +83,7 @@
 }
 
 impl ActionSink for RecordedActions {
-    fn attempt(&mut self, request: &Id, server: &Id, _limit: Duration, _fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, _limits: AttemptLimits, _fill: &Fill) {
         self.attempts.push((request.clone(), server.clone()));
     }
     fn reject(&mut self, _request: &Id, _retry_after: Option<Duration>) {}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::part_key;
 use crate::endpoints::Endpoint;
-use crate::interface::{Effect, Fill, Id, Tier};
+use crate::interface::{AttemptLimits, Effect, Fill, Id, Tier};
 use crate::request::{Attempt, OpenAttempt, PendingRequest, Route};
 use crate::retry::{self, RetryTarget};
 use crate::router::{EventContext, Router};
@@ -40,8 +40,7 @@
 /// The parameters of an attempt that satisfies every rule.
 struct ValidatedAttempt {
     fill: Fill,
-    /// The maximum duration of the attempt.
-    limit: Duration,
+    limits: AttemptLimits,
     kb: f64,
     /// The work for the server and for the source, in seconds of sending.
     work: [f64; 2],
@@ -63,7 +62,7 @@
         self.record_sent(context.now, &route, &validated);
         context
             .actions
-            .attempt(id, &route.server, validated.limit, &validated.fill);
+            .attempt(id, &route.server, validated.limits, &validated.fill);
         let sent_at = context.now;
         let attempt = Attempt {
             open: Some(OpenAttempt { route, sent_at }),
@@ -102,7 +101,10 @@
         let timeout = || self.attempt_timeout.timeout(request.sending_time);
         Ok(ValidatedAttempt {
             fill: self.fill_parameters(now, request, route, server, source, max_age),
-            limit: request.deadline - now,
+            limits: AttemptLimits {
+                duration: request.deadline - now,
+                send_within: self.send_within(now, request),
+            },
             kb: request.arrival.kb,
             work: [server, source].map(|endpoint| self.work(endpoint, request)),
             timeout: has_timeout.then(timeout),
@@ -156,6 +158,18 @@
         self.validate_endpoint(now, endpoint, request).is_ok()
     }
 
+    /// How long from now the first byte of an attempt may be sent. Sent later, an attempt could
+    /// reach a server after the grace period of a drain or a purge, or a repeat could reach one
+    /// that has forgotten the earlier attempt.
+    fn send_within(&self, now: Duration, request: &PendingRequest) -> Duration {
+        let class = &self.classes[request.arrival.class];
+        let execution = request.possible_execution.as_ref();
+        let remembered_until = execution.and_then(|e| retry::remembered_until(class, e));
+        let latest_arrival = now + self.max_action_delay;
+        let by_dedup_window = remembered_until.map(|end| end.saturating_sub(latest_arrival));
+        by_dedup_window.map_or(self.send_timeout, |time| time.min(self.send_timeout))
+    }
+
     /// Rule 2: whether a request may be executed again at this target.
     pub(crate) fn is_safe_to_retry(
         &self,
--- a/src/dispatch/tests.rs
+++ b/src/dispatch/tests.rs
@@ -3,12 +3,14 @@
 
 const NOW: Duration = Duration::from_secs(1000);
 const SECOND: Duration = Duration::from_secs(1);
+const SHORTEST_GRACE: Duration = Duration::from_millis(300);
+const DEDUP_WINDOW: Duration = Duration::from_secs(2);
 
 /// Discards every action.
 struct NoopOutlet;
 
 impl ActionSink for NoopOutlet {
-    fn attempt(&mut self, _: &Id, _: &Id, _: Duration, _: &Fill) {}
+    fn attempt(&mut self, _: &Id, _: &Id, _: AttemptLimits, _: &Fill) {}
     fn reject(&mut self, _: &Id, _: Option<Duration>) {}
     fn fail(&mut self, _: &Id) {}
     fn cancel(&mut self, _: &Id, _: usize) {}
@@ -37,6 +39,7 @@
         routers: 1,
         classes: vec![Class {
             effect,
+            dedup_window: DEDUP_WINDOW,
             soft_deadline: SECOND,
             fresh: Some(SECOND * 60),
             cacheable: true,
@@ -45,6 +48,8 @@
         client_kb_per_s: 1000.0,
         max_attempts: 2,
         cold_cache: limits,
+        drain_grace: SHORTEST_GRACE * 2,
+        purge_grace: SHORTEST_GRACE,
         purge_done: SECOND * 6,
         ..Deployment::default()
     };
@@ -93,6 +98,37 @@
     assert_eq!(refusal(&router, NOW, &id, &route("cache-2")), None);
 }
 
+/// How long after `now` a second attempt may be sent. The first one was sent at `NOW`.
+fn send_within(router: &Router, now: Duration, id: &Id) -> Duration {
+    let validated = router.validate_attempt(now, id, &route("cache-2"));
+    validated.expect("accepted").limits.send_within
+}
+
+#[test]
+fn an_attempt_is_sent_within_the_shortest_grace_period() {
+    for (effect, ran) in [
+        (Effect::Idempotent, true),
+        (Effect::Deduplicated, false),
+        (Effect::NonIdempotent, false),
+    ] {
+        let (mut router, id) = router(effect);
+        end_attempt(&mut router, &id, ran);
+        assert_eq!(send_within(&router, NOW, &id), SHORTEST_GRACE);
+    }
+}
+
+#[test]
+fn a_repeat_is_sent_within_the_dedup_window_of_the_first_attempt() {
+    let (mut router, id) = router(Effect::Deduplicated);
+    end_attempt(&mut router, &id, true);
+    let end = NOW + DEDUP_WINDOW;
+    assert_eq!(send_within(&router, NOW, &id), SHORTEST_GRACE);
+    let left = SHORTEST_GRACE / 2;
+    assert_eq!(send_within(&router, end - left, &id), left);
+    let refused = refusal(&router, end, &id, &route("cache-2"));
+    assert_eq!(refused, Some(Refusal::RetryUnsafe));
+}
+
 #[test]
 fn unknown_requests_and_servers_are_refused() {
     let (router, id) = router(Effect::Idempotent);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -379,6 +379,16 @@
     pub revalidate: bool,
 }
 
+/// How long an attempt may take, from the time at which it is decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AttemptLimits {
+    /// The maximum duration of the attempt.
+    pub duration: Duration,
+    /// The first byte is sent within this time, or the attempt ends as [`Outcome::NeverSent`]:
+    /// later, the rules that were checked for the decision may forbid it.
+    pub send_within: Duration,
+}
+
 /// A local copy of the requested part.
 #[derive(Clone, Debug)]
 pub struct LocalCopy {
@@ -392,9 +402,9 @@
 
 /// The actions of a router. Each call takes effect at once, in call order.
 pub trait ActionSink {
-    /// Sends an attempt, limited to the duration `limit`. Where `fill` names the server itself as
-    /// the source, the server answers only from a copy that it holds.
-    fn attempt(&mut self, request: &Id, server: &Id, limit: Duration, fill: &Fill);
+    /// Sends an attempt, within its limits. Where `fill` names the server itself as the source, the
+    /// server answers only from a copy that it holds.
+    fn attempt(&mut self, request: &Id, server: &Id, limits: AttemptLimits, fill: &Fill);
     /// Gives the final answer: rejected. Guarantees the client that a retry is safe.
     fn reject(&mut self, request: &Id, retry_after: Option<Duration>);
     /// Gives the final answer: failed. Guarantees nothing.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,13 +9,13 @@
 //! A front end implements [`interface::ActionSink`] to turn the router's actions into messages:
 //!
 //! ```
-//! use chalkhall::interface::{ActionSink, Fill, Id};
+//! use chalkhall::interface::{ActionSink, AttemptLimits, Fill, Id};
 //! use std::time::Duration;
 //!
 //! struct Printer(Vec<String>);
 //!
 //! impl ActionSink for Printer {
-//!     fn attempt(&mut self, request: &Id, server: &Id, _limit: Duration, fill: &Fill) {
+//!     fn attempt(&mut self, request: &Id, server: &Id, _limits: AttemptLimits, fill: &Fill) {
 //!         self.0.push(format!("{request}: {server}, filled from {}", fill.source));
 //!     }
 //!     fn reject(&mut self, request: &Id, _retry_after: Option<Duration>) {
--- a/src/lifecycle/tests.rs
+++ b/src/lifecycle/tests.rs
@@ -22,7 +22,7 @@
 }
 
 impl ActionSink for FrontEnd {
-    fn attempt(&mut self, request: &Id, _server: &Id, _limit: Duration, _fill: &Fill) {
+    fn attempt(&mut self, request: &Id, _server: &Id, _limits: AttemptLimits, _fill: &Fill) {
         self.attempts.push(request.clone());
     }
     fn reject(&mut self, _request: &Id, _retry_after: Option<Duration>) {
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -20,6 +20,12 @@
     Client,
 }
 
+/// The time from which the servers no longer recognise a repeat of a request that may have been
+/// executed. `None` if repeats are safe without that.
+pub fn remembered_until(class: &Class, execution: &PossibleExecution) -> Option<Duration> {
+    (class.effect == Effect::Deduplicated).then_some(execution.sent_at + class.dedup_window)
+}
+
 /// Whether a request that may have been executed may be executed again. `executed_on` is the server
 /// of `execution`, if it is still listed; `latest` is the latest time at which the retry arrives.
 pub fn is_safe_to_retry(
@@ -29,7 +35,7 @@
     target: &RetryTarget,
     latest: Duration,
 ) -> bool {
-    let is_remembered = latest < execution.sent_at + class.dedup_window;
+    let is_remembered = remembered_until(class, execution).is_some_and(|end| latest < end);
     let is_same_group = |group: fn(&Member) -> u64| match (target, executed_on) {
         (RetryTarget::Server(next), Some(first)) => is_remembered && group(next) == group(first),
         _ => false,
--- a/src/router.rs
+++ b/src/router.rs
@@ -23,6 +23,8 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// The delay before the endpoint list is requested again.
 const LIST_RECONNECT_DELAY: Duration = Duration::from_millis(1000);
+/// How long after its decision an attempt may be sent, if the deployment sets no grace period.
+const DEFAULT_SEND_TIMEOUT: Duration = Duration::from_millis(500);
 /// The upper bound of the sending time of an answer.
 const MAX_SENDING_SECONDS: f64 = 1e6;
 
@@ -39,6 +41,8 @@
     pub(crate) classes: Vec<Class>,
     /// The maximum delay until an action takes effect.
     pub(crate) max_action_delay: Duration,
+    /// How long after its decision an attempt may be sent, by rules 3 and 5.
+    pub(crate) send_timeout: Duration,
     client_kb_per_s: f64,
     pub(crate) routers_in_zone: f64,
     pub(crate) max_attempts: usize,
@@ -80,6 +84,7 @@
             zone: deployment.zone,
             classes: deployment.classes.clone(),
             max_action_delay,
+            send_timeout: shortest_grace(deployment).unwrap_or(DEFAULT_SEND_TIMEOUT),
             client_kb_per_s: if has_rate_limit {
                 deployment.client_kb_per_s
             } else {
@@ -300,5 +305,12 @@
     }
 }
 
+/// The shortest grace period of a drain or a purge. An attempt that is written within this time
+/// after its decision is written before the grace period of any later drain or purge ends.
+fn shortest_grace(deployment: &Deployment) -> Option<Duration> {
+    let graces = [deployment.drain_grace, deployment.purge_grace];
+    graces.into_iter().filter(|grace| !grace.is_zero()).min()
+}
+
 #[cfg(test)]
 mod tests;
--- a/src/router/tests.rs
+++ b/src/router/tests.rs
@@ -12,7 +12,7 @@
 struct RecordedAttempts(Vec<(Id, Id)>);
 
 impl ActionSink for RecordedAttempts {
-    fn attempt(&mut self, request: &Id, server: &Id, _limit: Duration, _fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, _limits: AttemptLimits, _fill: &Fill) {
         self.0.push((request.clone(), server.clone()));
     }
     fn reject(&mut self, _request: &Id, _retry_after: Option<Duration>) {}
--- a/tests/cells.rs
+++ b/tests/cells.rs
@@ -15,9 +15,11 @@
 }
 
 impl ActionSink for Simulation {
-    fn attempt(&mut self, request: &Id, server: &Id, limit: Duration, fill: &Fill) {
-        self.actions
-            .push(format!("attempt {request} {server} {limit:?} {fill:?}"));
+    fn attempt(&mut self, request: &Id, server: &Id, limits: AttemptLimits, fill: &Fill) {
+        self.actions.push(format!(
+            "attempt {request} {server} {:?} {fill:?}",
+            limits.duration
+        ));
         let n = self.attempts.entry(request.clone()).or_default();
         self.open_attempts.push_back((request.clone(), *n));
         *n += 1;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -18,7 +18,7 @@
 }
 
 impl ActionSink for RecordedActions {
-    fn attempt(&mut self, request: &Id, _server: &Id, _limit: Duration, fill: &Fill) {
+    fn attempt(&mut self, request: &Id, _server: &Id, _limits: AttemptLimits, fill: &Fill) {
         self.attempts.push((request.clone(), fill.source.clone()));
     }
     fn reject(&mut self, _request: &Id, _retry_after: Option<Duration>) {}
--- a/tests/local_failures.rs
+++ b/tests/local_failures.rs
@@ -19,7 +19,7 @@
 }
 
 impl ActionSink for Recorder {
-    fn attempt(&mut self, _: &Id, _: &Id, _: Duration, _: &Fill) {
+    fn attempt(&mut self, _: &Id, _: &Id, _: AttemptLimits, _: &Fill) {
         self.attempts.push_back(self.sent);
         self.sent += 1;
     }
@@ -163,7 +163,7 @@
 struct ChosenServers(Vec<Id>);
 
 impl ActionSink for ChosenServers {
-    fn attempt(&mut self, _: &Id, server: &Id, _: Duration, _: &Fill) {
+    fn attempt(&mut self, _: &Id, server: &Id, _: AttemptLimits, _: &Fill) {
         self.0.push(server.clone());
     }
     fn reject(&mut self, _: &Id, _: Option<Duration>) {}
--- a/tests/oracle/simulation.rs
+++ b/tests/oracle/simulation.rs
@@ -108,16 +108,17 @@
 }
 
 impl ActionSink for Recorder {
-    fn attempt(&mut self, request: &Id, server: &Id, limit: Duration, fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, limits: AttemptLimits, fill: &Fill) {
         self.record(
             "attempt",
             format_args!(
                 "{request} {server} {} {}",
-                limit.as_micros(),
+                limits.duration.as_micros(),
                 fill_text(fill)
             ),
         );
-        self.attempts.push((request.clone(), server.clone(), limit));
+        self.attempts
+            .push((request.clone(), server.clone(), limits.duration));
     }
     fn reject(&mut self, request: &Id, retry_after: Option<Duration>) {
         self.record("reject", format_args!("{request} {retry_after:?}"));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -51,11 +51,11 @@
 }
 
 impl ActionSink for Recorder {
-    fn attempt(&mut self, request: &Id, server: &Id, limit: Duration, fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, limits: AttemptLimits, fill: &Fill) {
         let oldest = fill
             .max_age
             .map_or("-".into(), |o| o.as_micros().to_string());
-        let (source, rank, limit) = (&fill.source, fill.priority, limit.as_millis());
+        let (source, rank, limit) = (&fill.source, fill.priority, limits.duration.as_millis());
         let held = if fill.only_held { "held" } else { "any" };
         let join = if fill.may_join { "join" } else { "alone" };
         let renew = if fill.revalidate { " renew" } else { "" };
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -84,7 +84,7 @@
 }
 
 impl ActionSink for Attempts {
-    fn attempt(&mut self, request: &Id, server: &Id, _limit: Duration, fill: &Fill) {
+    fn attempt(&mut self, request: &Id, server: &Id, _limits: AttemptLimits, fill: &Fill) {
         self.made
             .push((request.clone(), server.clone(), fill.source.clone()));
     }
