Slow start weighs what servers answered; one client moves the mean by its share only

Cause: the mean work of a class, by which a cold cache's budget is spent, was learned from each request as it came, by the size that its client states. Withdrawn requests of size 0 brought it to nothing. For parents the stated size counted as it was.

Size 0 means unknown.

--- a/crates/router/src/client_connection/admission.rs
+++ b/crates/router/src/client_connection/admission.rs
@@ -56,7 +56,8 @@
     }
 
     fn validate_request(&self, message: ClientMessage) -> Result<ParsedRequest, RequestError> {
-        let request = ParsedRequest::parse(message, &self.connection.frontend)?;
+        let mut request = ParsedRequest::parse(message, &self.connection.frontend)?;
+        request.arrival.connection = self.connection.slot.id;
         if self.open_requests.len() >= MAX_OPEN_REQUESTS {
             return Err(RequestError::TooManyOpen);
         }
--- a/crates/router/src/local_cache.rs
+++ b/crates/router/src/local_cache.rs
@@ -439,6 +439,7 @@
                 part: copy.part,
                 group: copy.group,
                 kb: copy.kb,
+                connection: 0,
                 zone: None,
                 cell: None,
                 time_left: self.classes[class].class.deadline,
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -270,6 +270,7 @@
                     part: unsigned(f, "Segment")?,
                     group: unsigned(f, "SetNo")?,
                     kb: number(f, "Kb")?,
+                    connection: 0,
                     zone: None,
                     time_left: duration_from_ms(number(f, "Ttl")?),
                     is_retry: flag(f, "Repeat")?,
--- a/examples/decision_cost.rs
+++ b/examples/decision_cost.rs
@@ -11,6 +11,8 @@
 
 const CACHES: [usize; 3] = [200, 800, 3200];
 const REQUESTS: u64 = 2_000;
+/// The number of client connections that send the requests.
+const CONNECTIONS: u64 = 16;
 const ROUNDS: usize = 5;
 /// The mean number of requests per object.
 const REPEATS: u64 = 2;
@@ -245,6 +247,7 @@
             object: format!("object-{object}").into(),
             kb: 20.0,
             time_left: Duration::from_secs(4),
+            connection: self.next % CONNECTIONS,
             ..IncomingRequest::default()
         };
         self.router.request(self.now, arrival, &mut self.recorded);
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -190,6 +190,7 @@
         self.record_outcome_of_origins(now, completion);
         // Answers from local copies carry no information about servers.
         if completion.is_served() && !completion.route.is_local() {
+            self.record_work(completion);
             self.record_answer(now, completion);
         }
     }
@@ -316,6 +317,15 @@
         }
     }
 
+    fn record_work(&mut self, completion: &Completion) {
+        let Some(request) = self.requests.get(completion.id) else {
+            return;
+        };
+        let arrival = &request.arrival;
+        self.slow_start
+            .record_answered(arrival.class, arrival.connection, request.sending_time);
+    }
+
     fn record_answer(&mut self, now: Duration, completion: &Completion) {
         let Some(request) = self.requests.get_mut(completion.id) else {
             return;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -264,8 +264,10 @@
     pub part: u64,
     /// The purge group of the object.
     pub group: u64,
-    /// The size of the answer in kilobytes.
+    /// The size of the answer in kilobytes, as the client states it; 0: unknown.
     pub kb: f64,
+    /// The number of the client's connection; 0 where connections are not told apart.
+    pub connection: u64,
     /// The request's cell, which restricts it to caches of that cell; `None`: no restriction.
     pub cell: Option<u32>,
     /// The zone whose caches serve all attempts of the request; `None`: the router's own zone.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 mod fill_limiter;
 pub mod interface;
 mod lifecycle;
+mod mean_work;
 pub mod outlier;
 mod overdue;
 mod purge;
--- a/src/router.rs
+++ b/src/router.rs
@@ -157,7 +157,6 @@
         };
         let sending_seconds = arrival.kb / self.client_kb_per_s;
         let sending_time = Duration::from_secs_f64(sending_seconds.clamp(0.0, MAX_SENDING_SECONDS));
-        self.slow_start.record_request(arrival.class, sending_time);
         PendingRequest {
             retention_priority,
             is_first_access: !is_known,
--- a/src/slow_start.rs
+++ b/src/slow_start.rs
@@ -6,7 +6,8 @@
 //! hash-based lottery selects the few routers that may send one.
 
 use crate::endpoints::Endpoint;
-use crate::interface::{Deployment, SlowStartSettings, Tier};
+use crate::interface::{Class, Deployment, SlowStartSettings, Tier};
+use crate::mean_work::MeanWork;
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -26,20 +27,33 @@
 const AVERAGE_WORK_MULTIPLE: f64 = 1.25;
 /// Transfers smaller than this fraction of the mean enter the lottery as if they had that size.
 const SMALL_WORK_SHARE: f64 = 0.5;
-/// The number of requests over which a mean is averaged.
-const MEAN_WINDOW_REQUESTS: f64 = 256.0;
 
-/// The moving average of the sending time of requests.
-#[derive(Clone, Copy, Debug, Default)]
-struct MeanWork {
-    seconds: f64,
-    requests: f64,
+/// A request counts as at least this fraction of the mean of its class, whatever size its client
+/// states.
+const MIN_STATED_SHARE: f64 = 0.75;
+
+/// The work of the requests of a class.
+#[derive(Clone, Debug, Default)]
+struct ClassWork {
+    mean: MeanWork,
+    /// Assumed while no mean is known: no answer is expected to take longer.
+    initial_seconds: f64,
+    /// No request counts as more: its answer would take longer than any client waits.
+    max_seconds: f64,
 }
 
-impl MeanWork {
-    fn record(&mut self, sending_time: Duration) {
-        self.requests = (self.requests + 1.0).min(MEAN_WINDOW_REQUESTS);
-        self.seconds += (sending_time.as_secs_f64() - self.seconds) / self.requests;
+impl From<&Class> for ClassWork {
+    fn from(class: &Class) -> ClassWork {
+        let has_deadline = !class.deadline.is_zero();
+        ClassWork {
+            mean: MeanWork::default(),
+            initial_seconds: class.soft_deadline.as_secs_f64(),
+            max_seconds: if has_deadline {
+                class.deadline.as_secs_f64()
+            } else {
+                f64::INFINITY
+            },
+        }
     }
 }
 
@@ -69,7 +83,7 @@
     started_at: Duration,
     caches: TierSlowStart,
     parents: TierSlowStart,
-    mean_work_by_class: Vec<MeanWork>,
+    work_by_class: Vec<ClassWork>,
     mean_work: MeanWork,
 }
 
@@ -88,24 +102,30 @@
                 limits: deployment.cold_parent,
                 sharing_routers: deployment.routers.max(1) as f64,
             },
-            mean_work_by_class: vec![MeanWork::default(); deployment.classes.len()],
+            work_by_class: deployment.classes.iter().map(ClassWork::from).collect(),
             mean_work: MeanWork::default(),
         }
     }
 
-    /// Records a request whose answer takes `sending_time` to send.
-    pub fn record_request(&mut self, class: usize, sending_time: Duration) {
-        self.mean_work_by_class[class].record(sending_time);
-        self.mean_work.record(sending_time);
+    /// Records a request that a server has answered, with the number of the client's connection.
+    /// Requests without an answer are not recorded: a client may withdraw any number of them.
+    pub fn record_answered(&mut self, class: usize, connection: u64, sending_time: Duration) {
+        let work = &mut self.work_by_class[class];
+        let seconds = sending_time.as_secs_f64().min(work.max_seconds);
+        work.mean.record(connection, seconds);
+        self.mean_work.record(connection, seconds);
     }
 
-    /// The work of an attempt for a server, in seconds of sending. For caches, the mean of the
-    /// class.
+    /// The work of an attempt for a server, in seconds of sending. For caches it is the mean of the
+    /// class; for other servers that of the request, if the client states no implausible size.
     #[inline]
     pub fn work(&self, tier: Tier, class: usize, sending_time: Duration) -> f64 {
-        match tier {
-            Tier::Cache => self.mean_work_by_class[class].seconds,
-            _ => sending_time.as_secs_f64(),
+        let class = &self.work_by_class[class];
+        let stated = sending_time.as_secs_f64().min(class.max_seconds);
+        match (tier, class.mean.seconds()) {
+            (Tier::Cache, Some(mean)) => mean,
+            (_, Some(mean)) => stated.max(mean * MIN_STATED_SHARE),
+            (_, None) => stated.max(self.mean_work.seconds().unwrap_or(class.initial_seconds)),
         }
     }
 
@@ -158,7 +178,7 @@
     /// The expected sum in any window equals the sum of the shares. The lottery rounds small sizes
     /// up: with exact sizes, a router could win once for each size that it is asked for.
     fn is_drawn(&self, endpoint: &Endpoint, budget: &Budget, sent: f64, work: f64) -> bool {
-        let (mean, share) = (self.mean_work.seconds, budget.share);
+        let (mean, share) = (self.mean_work.seconds().unwrap_or(work), budget.share);
         let small = mean * SMALL_WORK_SHARE;
         let large = (budget.total * LARGE_DRAWN_SHARE).max(mean * AVERAGE_WORK_MULTIPLE);
         if work.max(small) > large.min(budget.total * MAX_DRAWN_SHARE) {
--- a/src/slow_start/tests.rs
+++ b/src/slow_start/tests.rs
@@ -19,7 +19,7 @@
         ..Deployment::default()
     };
     let mut slow_start = SlowStart::new(SECOND, &deployment, routers as f64);
-    slow_start.record_request(0, SECOND / 10);
+    slow_start.record_answered(0, 1, SECOND / 10);
     slow_start
 }
 
--- a/tests/oracle/simulation.rs
+++ b/tests/oracle/simulation.rs
@@ -529,6 +529,7 @@
             part,
             group,
             kb: 1.0 + self.rng.f64().powi(4) * 900.0,
+            connection: 0,
             cell: (self.setup.cells > 0 && !self.one_in(5))
                 .then(|| self.rng.u32(..self.setup.cells)),
             zone: self.one_in(10).then_some(0),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -417,6 +417,7 @@
                 part: line.number("part", 0),
                 group: line.number("group", 0),
                 kb: line.number("kb", 100) as f64,
+                connection: line.number("connection", 0),
                 cell: line.text("cell").and_then(|cell| cell.parse().ok()),
                 zone: None,
                 time_left: line.time("left", 4000),
