One account of memory: bodies of requests and stated sizes of answers count

Cause: admission counted answers only, each at the mean of recent ones. Bodies of open requests and of the decider's mailbox were not counted, and a body kept the whole read buffer alive.

Change: decider/memory_account.rs counts open requests, their bodies, expected answers (what the client states, by the proportion learned) and answers owed against half of memory_mb. Bodies on their way to the decider have a sixteenth. An answer that does not fit in although little was stated is dropped and its request fails. memory stat prints it all.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -58,6 +58,9 @@
     /// Gossip with peers: queries a running router
     #[command(subcommand)]
     Peers(Peers),
+    /// Asks a running router for the memory that it holds
+    #[command(subcommand)]
+    Memory(Memory),
     /// Regions: the state of the zones as a running router knows it, and where its requests go
     #[command(subcommand)]
     Regions(Regions),
@@ -101,6 +104,21 @@
     },
 }
 
+#[derive(Subcommand)]
+pub enum Memory {
+    /// Prints the bytes held by use, the limit for them, and what did not fit in
+    #[command(after_help = "Exit codes: 0 success; 1 the router does not answer.
+
+Example: chalkhall memory stat --socket /run/chalkhall/control.sock")]
+    Stat {
+        /// The router's control socket
+        #[arg(long)]
+        socket: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
 #[derive(Subcommand)]
 pub enum Regions {
     /// Prints the state of each zone and the current region plan
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,6 @@
 //! `chalkhall`: the command-line program for operators.
 
-use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Fleet, Peers, Regions, Store};
+use chalkhall_cli::arguments::{Cells, Chalkhall, Command, Fleet, Memory, Peers, Regions, Store};
 use chalkhall_cli::{Failure, cells, check, fleet, store, torture};
 use clap::{CommandFactory, Parser};
 use std::path::{Path, PathBuf};
@@ -18,6 +18,9 @@
         Command::Peers(Peers::Stat { socket, json }) => {
             store::query_router(&socket, "peers stat", json)
         }
+        Command::Memory(Memory::Stat { socket, json }) => {
+            store::query_router(&socket, "memory stat", json)
+        }
         Command::Regions(Regions::Stat { socket, json }) => {
             store::query_router(&socket, "regions stat", json)
         }
--- a/crates/router/src/client_connection.rs
+++ b/crates/router/src/client_connection.rs
@@ -31,9 +31,10 @@
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpStream, tcp::WriteHalf};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::time::Instant;
 use write_buffer::{CHUNKS_PER_RESPONSE, WriteBuffer};
 
@@ -70,6 +71,8 @@
     /// The retry delay sent with rejections.
     pub retry_after: Option<Duration>,
     pub clock: Clock,
+    /// Permits for the bytes of bodies that are on their way to the decider.
+    pub arriving_bodies: Arc<Semaphore>,
 }
 
 /// An accepted connection with its channels to the rest of the router.
--- a/crates/router/src/client_connection/admission.rs
+++ b/crates/router/src/client_connection/admission.rs
@@ -9,7 +9,7 @@
 use crate::messages::{CancellationFlag, ClientReply, Message, NewRequest};
 use std::collections::HashSet;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::{Instant, timeout_at};
 
 impl Session {
@@ -76,6 +76,7 @@
         let deadline = self.connection.frontend.clock.instant(deadline);
         self.write_buffer.extend_deadline(deadline);
         let reply_permit = self.reserve_reply().await?;
+        let body_permit = self.count_body(forwarded.body.len()).await;
         let cancellation = CancellationFlag::default();
         let open = OpenRequest {
             id: arrival.id.clone(),
@@ -88,6 +89,7 @@
             received_after,
             tag,
             reply_permit,
+            _body_permit: body_permit,
             cancellation,
         }));
         if self.connection.decider.send(request).await.is_err() {
@@ -98,6 +100,14 @@
         Ok(())
     }
 
+    /// Counts a body that is sent to the decider. Waits while others on their way there take all of
+    /// the memory for them.
+    async fn count_body(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
+        let permits = self.connection.frontend.arriving_bodies.clone();
+        let bytes = u32::try_from(bytes).ok().filter(|bytes| *bytes > 0)?;
+        permits.acquire_many_owned(bytes).await.ok()
+    }
+
     /// Reserves capacity for a reply. The channel holds more replies than there may be open
     /// requests; the decider frees the capacity of a cancelled request once it has handled the
     /// cancellation.
--- a/crates/router/src/client_connection/test_support.rs
+++ b/crates/router/src/client_connection/test_support.rs
@@ -8,10 +8,11 @@
 use bytes::{Buf, Bytes, BytesMut};
 use std::ops::RangeInclusive;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 use tokio::task::{spawn_local, yield_now};
 
 /// A frontend with a single class, `page`, without tenants and without a transfer rate.
@@ -22,6 +23,7 @@
         max_kb_per_s: 0.0,
         retry_after,
         clock: Clock::start(),
+        arriving_bodies: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
     })
 }
 
--- a/crates/router/src/client_protocol.rs
+++ b/crates/router/src/client_protocol.rs
@@ -11,6 +11,9 @@
 /// Every number of this many digits fits into 64 bits.
 const MAX_NUMBER_DIGITS: usize = 18;
 const LINE_END: &[u8] = b"\r\n";
+/// Parts of this length are copied out of the read buffer. Shared, they would keep all of it alive
+/// for as long as their request is open, up to twice their size.
+const MIN_COPIED_BYTES: usize = 4096;
 
 /// Terminates a response, after its body.
 pub const RESPONSE_END: &[u8] = LINE_END;
@@ -118,7 +121,13 @@
     if &buffer[length..complete] != LINE_END {
         return Err(FrameError::UnterminatedPart);
     }
-    let part = buffer.split_to(length).freeze();
+    let part = if length >= MIN_COPIED_BYTES {
+        let part = Bytes::copy_from_slice(&buffer[..length]);
+        buffer.advance(length);
+        part
+    } else {
+        buffer.split_to(length).freeze()
+    };
     buffer.advance(LINE_END.len());
     Ok(Some(part))
 }
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -17,6 +17,7 @@
 mod discovery_updates;
 mod dispatcher;
 mod event_loop;
+mod memory_account;
 mod operator_queries;
 mod requests;
 mod servers;
@@ -37,17 +38,15 @@
 use chalkhall::control::Router;
 use chalkhall::interface::{Class, Deployment, Effect, Member};
 use dispatcher::{Dispatcher, FinalOutcome};
+use memory_account::MemoryAccount;
 use requests::RequestTable;
 use servers::ServerHandles;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Semaphore, mpsc, watch};
 
-/// Expected size of a body before any has been received: the size of the largest object.
-const INITIAL_EXPECTED_BODY_BYTES: f64 = 240_000.0;
-/// Weight of each received body in the moving average of body sizes.
-const BODY_SIZE_SMOOTHING: f64 = 1.0 / 64.0;
 const MAX_CONNECTIONS_PER_SERVER: usize = 8;
 /// Descriptors reserved for everything but open client and server connections: client connections
 /// that are being closed, discovery, the listener, gossip, signals and the log.
@@ -78,9 +77,6 @@
     slow_start_window: Duration,
     limits: Limits,
     is_non_idempotent_class: Vec<bool>,
-    /// New requests are rejected while the bodies in memory and those expected exceed this many
-    /// bytes.
-    max_body_bytes: f64,
     phase: watch::Sender<Phase>,
     max_deadline: Duration,
     max_retry_after: Option<Duration>,
@@ -118,9 +114,7 @@
             local_cache,
             gossip,
             served_answer: None,
-            unwritten_bytes: 0,
-            open_attempts: 0,
-            expected_body_bytes: INITIAL_EXPECTED_BODY_BYTES,
+            memory: MemoryAccount::new(limits.memory),
             unsent_log: RateLimitedLog::default(),
             client_kb_per_s: deployment.client_kb_per_s.max(MIN_CLIENT_KB_PER_S),
         };
@@ -134,7 +128,6 @@
             zone_failover,
             slow_start_window: deployment.cold_cache.warm_up_time,
             is_non_idempotent_class: classes.clone().map(is_non_idempotent).collect(),
-            max_body_bytes: limits.memory as f64 / 2.0,
             limits,
             phase,
             max_deadline: classes
@@ -151,6 +144,11 @@
     pub fn retry_after(&self) -> Option<Duration> {
         self.router.retry_after
     }
+
+    /// Permits for the bytes of bodies that client connections send to the decider.
+    pub fn arriving_bodies(&self) -> Arc<Semaphore> {
+        self.dispatcher.memory.arriving_bodies()
+    }
 }
 
 /// Builds the factory of server actors, which share the descriptors that are not reserved.
--- a/crates/router/src/decider/admission.rs
+++ b/crates/router/src/decider/admission.rs
@@ -15,7 +15,7 @@
             return;
         }
         let waited = self.dispatcher.now.saturating_sub(new.received_after);
-        if let Err(refusal) = self.admit(&mut new.arrival, waited) {
+        if let Err(refusal) = self.admit(&mut new.arrival, new.forwarded.body.len(), waited) {
             new.reply_permit.send(ClientReply {
                 tag: new.tag,
                 id: new.arrival.id,
@@ -24,7 +24,7 @@
             return;
         }
         let now = self.dispatcher.now;
-        self.dispatcher.requests.insert(PendingRequest {
+        self.dispatcher.open_request(PendingRequest {
             requester: Some(Requester::Client(new.reply_permit)),
             tag: new.tag,
             cancellation: new.cancellation,
@@ -45,6 +45,7 @@
     fn admit(
         &mut self,
         arrival: &mut IncomingRequest,
+        body_bytes: usize,
         waited: Duration,
     ) -> Result<(), FinalAnswer> {
         if self.dispatcher.requests.contains(&arrival.id) {
@@ -53,7 +54,7 @@
             return Err(FinalAnswer::Failed);
         }
         let rejected = FinalAnswer::Rejected(self.router.retry_after);
-        if !self.has_capacity() {
+        if !self.has_capacity(arrival, body_bytes) {
             return Err(rejected);
         }
         arrival.time_left = arrival.time_left.saturating_sub(waited);
@@ -77,13 +78,13 @@
 
     /// Whether memory and the request table have capacity for one more request. Without this check
     /// the process could be killed for its memory use, or the table grow past its limit.
-    fn has_capacity(&mut self) -> bool {
-        let expected_bodies = self.dispatcher.expected_body_bytes_with_one_more();
-        if let Some(local_cache) = &mut self.dispatcher.local_cache {
-            local_cache.evict_for_bodies(expected_bodies);
+    fn has_capacity(&mut self, arrival: &IncomingRequest, body_bytes: usize) -> bool {
+        let dispatcher = &mut self.dispatcher;
+        let held = dispatcher.memory.held_with(body_bytes, arrival.kb);
+        if let Some(local_cache) = &mut dispatcher.local_cache {
+            local_cache.evict_for_bodies(held as u64);
         }
-        expected_bodies <= self.max_body_bytes
-            && self.dispatcher.requests.len() < self.limits.open_requests
+        dispatcher.requests.len() < self.limits.open_requests && dispatcher.memory.admits(held)
     }
 
     fn is_non_idempotent(&self, arrival: &IncomingRequest) -> bool {
--- a/crates/router/src/decider/attempt_results.rs
+++ b/crates/router/src/decider/attempt_results.rs
@@ -1,7 +1,7 @@
 //! Results of attempts, which are reported to the client, the subsystems and the routing logic.
 
+use super::Decider;
 use super::dispatcher::{ClosedAttempt, ServedAnswer};
-use super::{BODY_SIZE_SMOOTHING, Decider};
 use crate::messages::{AttemptEnded, AttemptId, FinalAnswer};
 use crate::server_protocol::Answer;
 use chalkhall::interface::{self, Id, Outcome, Remark};
@@ -74,11 +74,18 @@
         }
     }
 
-    /// Sends the answer to the client: that of the first attempt that is served.
+    /// Sends the answer to the client: that of the first attempt that is served. If there is no
+    /// memory for it, the request fails at once: its client stated too small a size.
     fn forward_answer(&mut self, id: &Id, attempt: &ClosedAttempt, answer: Box<Answer>) {
         let dispatcher = &mut self.dispatcher;
-        let difference = answer.body.len() as f64 - dispatcher.expected_body_bytes;
-        dispatcher.expected_body_bytes += difference * BODY_SIZE_SMOOTHING;
+        if let Some(request) = dispatcher.requests.get(id) {
+            let kb = request.arrival.kb;
+            dispatcher.memory.record_answer(kb, answer.body.len());
+        }
+        if !dispatcher.memory.admits_answer(answer.body.len()) {
+            dispatcher.reply(id, FinalAnswer::Failed);
+            return;
+        }
         dispatcher.reply(id, final_answer(&answer));
         if let Some(request) = dispatcher.requests.get(id) {
             if let Some(cell_routing) = &mut self.cell_routing {
--- a/crates/router/src/decider/dispatcher.rs
+++ b/crates/router/src/decider/dispatcher.rs
@@ -1,5 +1,6 @@
 //! Executes the actions of the routing logic: attempts, replies, cancellations and timers.
 
+use super::memory_account::MemoryAccount;
 use super::requests::{Attempt, PendingRequest, RequestTable, Requester};
 use super::servers::ServerHandles;
 use super::subsystems::Gossip;
@@ -53,12 +54,8 @@
     pub(super) local_cache: Option<LocalCache>,
     pub(super) gossip: Option<Gossip>,
     pub(super) served_answer: Option<ServedAnswer>,
-    /// Bytes of bodies that have not been written to clients yet.
-    pub(super) unwritten_bytes: usize,
-    /// Attempts in progress; each may return a body.
-    pub(super) open_attempts: usize,
-    /// Expected size of a body: a moving average of those received.
-    pub(super) expected_body_bytes: f64,
+    /// The memory that requests and answers take.
+    pub(super) memory: MemoryAccount,
     pub(super) unsent_log: RateLimitedLog,
     /// The rate at which one answer is sent to a client.
     pub(super) client_kb_per_s: f64,
@@ -80,7 +77,7 @@
                 received_at: request.received_at,
                 was_served: is_served(&answer),
             });
-            self.unwritten_bytes += body_bytes(&answer);
+            self.memory.add_unwritten(body_bytes(&answer));
             reply_permit.send(ClientReply {
                 tag: request.tag,
                 id: id.clone(),
@@ -91,15 +88,17 @@
         true
     }
 
-    /// Subtracts bytes of bodies that have been written to a client, or dropped.
-    pub(super) fn release_written(&mut self, bytes: usize) {
-        self.unwritten_bytes = self.unwritten_bytes.saturating_sub(bytes);
+    /// Adds a request to the table.
+    pub(super) fn open_request(&mut self, request: PendingRequest) {
+        self.memory.open_request(request.forwarded.body.len());
+        self.requests.insert(request);
     }
 
-    /// Bytes of the bodies in memory and of those expected, including one more attempt.
-    pub(super) fn expected_body_bytes_with_one_more(&self) -> f64 {
-        let attempts = (self.open_attempts + 1) as f64;
-        self.unwritten_bytes as f64 + attempts * self.expected_body_bytes
+    /// Removes a request from the table if it is finished.
+    pub(super) fn close_if_finished(&mut self, id: &Id) {
+        if let Some(request) = self.requests.remove_if_finished(id) {
+            self.memory.close_request(request.forwarded.body.len());
+        }
     }
 
     /// Marks an attempt as ended. Returns `None` if it is not open.
@@ -109,7 +108,7 @@
         if !std::mem::take(&mut attempt.is_open) {
             return None;
         }
-        self.open_attempts -= 1;
+        self.memory.release(attempt.reserved_bytes);
         Some(ClosedAttempt {
             server: attempt.server.clone(),
             is_at_server: attempt.commands.is_some(),
@@ -143,8 +142,8 @@
             server: server.clone(),
             sent_at: self.now,
             is_open: true,
+            reserved_bytes: self.memory.reserve(pending.arrival.kb),
         });
-        self.open_attempts += 1;
         true
     }
 
@@ -216,8 +215,8 @@
             server: server.clone(),
             sent_at: self.now,
             is_open: true,
+            reserved_bytes: self.memory.reserve(pending.arrival.kb),
         });
-        self.open_attempts += 1;
     }
 
     fn reject(&mut self, request: &Id, retry_after: Option<Duration>) {
--- a/crates/router/src/decider/event_loop.rs
+++ b/crates/router/src/decider/event_loop.rs
@@ -125,7 +125,7 @@
                     self.router.client_left(now, &id, &mut self.dispatcher);
                 }
             }
-            Message::BodyWritten(bytes) => self.dispatcher.release_written(bytes),
+            Message::BodyWritten(bytes) => self.dispatcher.memory.remove_unwritten(bytes),
             Message::AttemptEnded(ended) => self.complete_attempt(ended),
             Message::ServerActorStopped(server) => {
                 self.dispatcher.servers.forget_stopped_actor(&server)
@@ -150,7 +150,7 @@
         }
         self.report_final_outcomes();
         for id in std::mem::take(&mut self.dispatcher.maybe_finished) {
-            self.dispatcher.requests.remove_if_finished(&id);
+            self.dispatcher.close_if_finished(&id);
         }
     }
 }
--- /dev/null
+++ b/crates/router/src/decider/memory_account.rs
@@ -0,0 +1,198 @@
+//! The memory that the router holds for clients and servers, in one account: a new request is
+//! rejected if it does not fit in.
+
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::sync::Semaphore;
+
+/// The largest body that the protocol allows.
+const MAX_BODY_BYTES: f64 = 240_000.0;
+/// Stated sizes are in KB; the protocol has the bytes of a body in proportion, and never above.
+const MAX_BYTES_PER_KB: f64 = 1024.0;
+/// Weight of each received body in the moving averages.
+const SMOOTHING: f64 = 1.0 / 64.0;
+/// The memory that one open request takes besides its bodies: entries of tables, its id, its
+/// timers and its attempts.
+const REQUEST_BYTES: usize = 2048;
+
+/// The part of the process' memory for bodies on their way from client connections to the decider.
+const ARRIVING_DIVISOR: u64 = 16;
+/// At least a few of the largest requests can be on their way.
+const MIN_ARRIVING_BYTES: u64 = 256 * 1024;
+
+/// The expected size of answers, learned from those received.
+#[derive(Debug)]
+struct ExpectedBody {
+    mean_bytes: f64,
+    bytes_per_kb: f64,
+}
+
+impl ExpectedBody {
+    /// The expected size of an answer that the client says has `kb`. Clients may state too little,
+    /// so that the mean is expected at least.
+    fn bytes(&self, kb: f64) -> usize {
+        let stated = kb * self.bytes_per_kb;
+        stated.max(self.mean_bytes).min(MAX_BODY_BYTES) as usize
+    }
+
+    /// Records a received body. A larger proportion than before counts at once, a smaller one
+    /// little by little.
+    fn record(&mut self, kb: f64, body_bytes: usize) {
+        self.mean_bytes += (body_bytes as f64 - self.mean_bytes) * SMOOTHING;
+        // Answers without a body, as to writes, say nothing about the sizes of objects.
+        if kb <= 0.0 || body_bytes == 0 {
+            return;
+        }
+        let proportion = (body_bytes as f64 / kb).min(MAX_BYTES_PER_KB);
+        let smoothed = self.bytes_per_kb + (proportion - self.bytes_per_kb) * SMOOTHING;
+        self.bytes_per_kb = proportion.max(smoothed);
+    }
+}
+
+/// The bytes held, by use, and their limit.
+#[derive(Debug)]
+pub(super) struct MemoryAccount {
+    /// The limit for all uses together.
+    limit: usize,
+    open_requests: usize,
+    /// Bodies of open requests.
+    request_bodies: usize,
+    /// Reserved for the answers of attempts in progress.
+    expected_answers: usize,
+    /// Bodies of answers that have not been written to clients yet.
+    unwritten_answers: usize,
+    expected_body: ExpectedBody,
+    /// Permits for the bytes of bodies that are on their way to the decider. While there are none,
+    /// client connections read no further.
+    arriving_bodies: Arc<Semaphore>,
+    max_arriving_bytes: usize,
+    /// Requests that did not fit in.
+    rejected: u64,
+    /// Answers that did not fit in.
+    dropped_answers: u64,
+}
+
+impl MemoryAccount {
+    /// Creates an empty account. Half of the process' memory is for what it holds; the rest is for
+    /// the program, buffers of connections and fragmentation.
+    pub(super) fn new(process_memory: u64) -> MemoryAccount {
+        let max_arriving_bytes = (process_memory / ARRIVING_DIVISOR).max(MIN_ARRIVING_BYTES);
+        let max_arriving_bytes = (max_arriving_bytes as usize).min(Semaphore::MAX_PERMITS);
+        MemoryAccount {
+            arriving_bodies: Arc::new(Semaphore::new(max_arriving_bytes)),
+            max_arriving_bytes,
+            limit: (process_memory / 2) as usize,
+            open_requests: 0,
+            request_bodies: 0,
+            expected_answers: 0,
+            unwritten_answers: 0,
+            expected_body: ExpectedBody {
+                mean_bytes: MAX_BODY_BYTES,
+                bytes_per_kb: MAX_BYTES_PER_KB,
+            },
+            rejected: 0,
+            dropped_answers: 0,
+        }
+    }
+
+    /// The bytes held.
+    fn present(&self) -> usize {
+        self.open_requests * REQUEST_BYTES + self.request_bodies + self.unwritten_answers
+    }
+
+    /// The bytes held and reserved.
+    pub(super) fn held(&self) -> usize {
+        self.present() + self.expected_answers
+    }
+
+    /// The bytes held with one more request: its body, and its answer, which has the stated size.
+    pub(super) fn held_with(&self, body_bytes: usize, kb: f64) -> usize {
+        self.held() + REQUEST_BYTES + body_bytes + self.expected_body.bytes(kb)
+    }
+
+    /// Whether this many bytes are within the limit. If not, a request is counted as rejected.
+    pub(super) fn admits(&mut self, bytes: usize) -> bool {
+        let fits = bytes <= self.limit;
+        self.rejected += u64::from(!fits);
+        fits
+    }
+
+    /// Whether the body of a received answer is within the limit. Memory was reserved for it if its
+    /// client stated its size. If not, the answer is counted as dropped.
+    pub(super) fn admits_answer(&mut self, body_bytes: usize) -> bool {
+        let fits = self.present() + body_bytes <= self.limit;
+        self.dropped_answers += u64::from(!fits);
+        fits
+    }
+
+    /// The permits for the bytes of bodies that client connections send to the decider.
+    pub(super) fn arriving_bodies(&self) -> Arc<Semaphore> {
+        self.arriving_bodies.clone()
+    }
+
+    /// Adds an open request with the bytes of its body.
+    pub(super) fn open_request(&mut self, body_bytes: usize) {
+        self.open_requests += 1;
+        self.request_bodies += body_bytes;
+    }
+
+    /// Removes a request that is finished.
+    pub(super) fn close_request(&mut self, body_bytes: usize) {
+        self.open_requests -= 1;
+        self.request_bodies -= body_bytes;
+    }
+
+    /// Reserves memory for the answer of an attempt. The result is passed to
+    /// [`MemoryAccount::release`] when the attempt ends.
+    #[must_use]
+    pub(super) fn reserve(&mut self, kb: f64) -> usize {
+        let bytes = self.expected_body.bytes(kb);
+        self.expected_answers += bytes;
+        bytes
+    }
+
+    /// Releases what was reserved for an attempt.
+    pub(super) fn release(&mut self, reserved: usize) {
+        self.expected_answers -= reserved;
+    }
+
+    /// Learns from a received answer how large answers are.
+    pub(super) fn record_answer(&mut self, kb: f64, body_bytes: usize) {
+        self.expected_body.record(kb, body_bytes);
+    }
+
+    /// Adds the body of an answer that is passed to a client's connection.
+    pub(super) fn add_unwritten(&mut self, body_bytes: usize) {
+        self.unwritten_answers += body_bytes;
+    }
+
+    /// Subtracts bytes of bodies that have been written to a client, or dropped.
+    pub(super) fn remove_unwritten(&mut self, body_bytes: usize) {
+        self.unwritten_answers = self.unwritten_answers.saturating_sub(body_bytes);
+    }
+
+    /// Whether clients have not read all of their answers yet.
+    pub(super) fn has_unwritten(&self) -> bool {
+        self.unwritten_answers > 0
+    }
+
+    /// The account as an operator sees it, in bytes. `local_copies` is the memory of the local
+    /// cache, which gives way to the other uses.
+    pub(super) fn report(&self, local_copies: u64) -> Value {
+        json!({
+            "limit": self.limit,
+            "arriving_bodies": self.max_arriving_bytes - self.arriving_bodies.available_permits(),
+            "held": self.held(),
+            "open_requests": self.open_requests * REQUEST_BYTES,
+            "request_bodies": self.request_bodies,
+            "expected_answers": self.expected_answers,
+            "unwritten_answers": self.unwritten_answers,
+            "local_copies": local_copies,
+            "rejected": self.rejected,
+            "dropped_answers": self.dropped_answers,
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/router/src/decider/operator_queries.rs
+++ b/crates/router/src/decider/operator_queries.rs
@@ -2,6 +2,7 @@
 
 use super::Decider;
 use super::subsystems::Gossip;
+use crate::local_cache::LocalCache;
 use crate::operator_query::{Query, ZoneFailoverQuery};
 use crate::zone_failover::ZoneFailover;
 use serde_json::{Value, json};
@@ -16,6 +17,11 @@
                 Some(local_cache) => local_cache.report(),
                 None => error("the local cache is off: neither memory nor disk is set"),
             },
+            Query::MemoryStat => {
+                let local_cache = self.dispatcher.local_cache.as_ref();
+                let local_copies = local_cache.map_or(0, LocalCache::memory_bytes);
+                self.dispatcher.memory.report(local_copies)
+            }
             Query::CellsStat => match &self.cell_routing {
                 Some(cell_routing) => cell_routing.report(),
                 None => error("no cells are configured"),
--- a/crates/router/src/decider/requests.rs
+++ b/crates/router/src/decider/requests.rs
@@ -54,6 +54,8 @@
     pub(super) server: Id,
     pub(super) sent_at: Duration,
     pub(super) is_open: bool,
+    /// Memory that is reserved for its answer while it is open.
+    pub(super) reserved_bytes: usize,
 }
 
 /// All open requests, by id.
@@ -114,10 +116,9 @@
         true
     }
 
-    /// Removes a request that is finished.
-    pub(super) fn remove_if_finished(&mut self, id: &Id) {
-        if self.get(id).is_some_and(PendingRequest::is_finished) {
-            self.requests.remove(id);
-        }
+    /// Removes a request that is finished, and returns it.
+    pub(super) fn remove_if_finished(&mut self, id: &Id) -> Option<PendingRequest> {
+        let is_finished = self.get(id).is_some_and(PendingRequest::is_finished);
+        is_finished.then(|| self.requests.remove(id)).flatten()
     }
 }
--- a/crates/router/src/decider/shutdown.rs
+++ b/crates/router/src/decider/shutdown.rs
@@ -10,7 +10,7 @@
     /// The work that delays the end of draining: clients' open requests, and answers that have not
     /// been written to slow clients yet.
     pub(super) fn open_work(&self) -> usize {
-        let has_unwritten = self.dispatcher.unwritten_bytes > 0;
+        let has_unwritten = self.dispatcher.memory.has_unwritten();
         self.dispatcher.requests.waiting_clients() + usize::from(has_unwritten)
     }
 
--- a/crates/router/src/decider/subsystems.rs
+++ b/crates/router/src/decider/subsystems.rs
@@ -113,7 +113,7 @@
     fn revalidate(&mut self, revalidation: Revalidation) {
         let Revalidation { arrival, forwarded } = revalidation;
         let now = self.dispatcher.now;
-        self.dispatcher.requests.insert(PendingRequest {
+        self.dispatcher.open_request(PendingRequest {
             requester: Some(Requester::LocalCache),
             tag: 0,
             cancellation: CancellationFlag::default(),
--- a/crates/router/src/decider/tests.rs
+++ b/crates/router/src/decider/tests.rs
@@ -64,6 +64,7 @@
         received_after: Duration::ZERO,
         tag,
         reply_permit,
+        _body_permit: None,
         cancellation: CancellationFlag::default(),
     }
 }
@@ -145,7 +146,7 @@
 async fn draining_waits_for_unwritten_bodies() {
     let (mut decider, _messages, _phase) = start_decider(Phase::Serving);
     assert_eq!(decider.open_work(), 0);
-    decider.dispatcher.unwritten_bytes = 1;
+    decider.dispatcher.memory.add_unwritten(1);
     assert_eq!(decider.open_work(), 1);
     decider.handle(Message::BodyWritten(1));
     assert_eq!(decider.open_work(), 0);
--- a/crates/router/src/local_cache.rs
+++ b/crates/router/src/local_cache.rs
@@ -364,12 +364,15 @@
             .for_each(|disk| disk.confirm_discovery_up_to(unix_ms));
     }
 
-    /// Evicts copies from memory to free it for bodies, both present and expected.
-    pub fn evict_for_bodies(&mut self, body_bytes: f64) {
+    /// The bytes that copies in memory and their tables take.
+    pub fn memory_bytes(&self) -> u64 {
+        self.store.bytes()
+    }
+
+    /// Evicts copies from memory to free it for requests and answers, both present and expected.
+    pub fn evict_for_bodies(&mut self, body_bytes: u64) {
         let tables = self.store.bytes() - self.store.memory().bytes();
-        let capacity = self
-            .usable_memory
-            .saturating_sub(body_bytes as u64 + tables);
+        let capacity = self.usable_memory.saturating_sub(body_bytes + tables);
         if self.store.memory().bytes() > capacity {
             self.store.evict_to(capacity);
         }
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -11,7 +11,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
 use tokio::time::Instant;
 
 /// A message to the decider.
@@ -48,6 +48,8 @@
     pub tag: u64,
     /// Reserved capacity for the final answer, so that sending it cannot fail.
     pub reply_permit: mpsc::OwnedPermit<ClientReply>,
+    /// Counts its body until the decider has admitted or refused it.
+    pub _body_permit: Option<OwnedSemaphorePermit>,
     /// Ended by the client connection or by the decider.
     pub cancellation: CancellationFlag,
 }
--- a/crates/router/src/operator_query.rs
+++ b/crates/router/src/operator_query.rs
@@ -5,6 +5,8 @@
 pub enum Query {
     /// `store stat`: the state and counters of the local cache.
     StoreStat,
+    /// `memory stat`: the memory held, by use.
+    MemoryStat,
     /// `cells stat`: the cell map and its moves.
     CellsStat,
     /// `peers stat`: gossip with the routers of the zone.
@@ -34,6 +36,7 @@
         let words: Vec<&str> = line.split_whitespace().collect();
         match words.as_slice() {
             ["store", "stat"] => Query::StoreStat,
+            ["memory", "stat"] => Query::MemoryStat,
             ["cells", "stat"] => Query::CellsStat,
             ["peers", "stat"] => Query::PeersStat,
             ["regions" | "steer" | "latency", ..] => {
--- a/crates/router/src/operator_query/tests.rs
+++ b/crates/router/src/operator_query/tests.rs
@@ -4,6 +4,7 @@
 fn known_queries_are_parsed_regardless_of_whitespace() {
     let known = [
         ("store stat\n", Query::StoreStat),
+        ("memory stat", Query::MemoryStat),
         ("  cells   stat\r\n", Query::CellsStat),
         ("peers stat", Query::PeersStat),
         ("regions stat", Query::ZoneFailover(ZoneFailoverQuery::Stat)),
--- a/crates/router/tests/program/memory.rs
+++ b/crates/router/tests/program/memory.rs
@@ -1,9 +1,10 @@
-//! Memory that must not grow with what bad clients do.
+//! Memory that must not grow with what clients do, nor pass the limit of the configuration.
 
 use crate::support::*;
 use std::io::{Read, sink};
 use std::net::TcpListener;
 use std::thread::spawn;
+use std::time::Instant;
 
 /// The number of open requests that a connection may carry.
 const OPEN_REQUESTS: u64 = 32;
@@ -59,3 +60,145 @@
         "memory grew by {growth_kb} KB, over {limit_kb} KB, from {before_kb} KB"
     );
 }
+
+/// Limits of memory under which a burst is handled, in MB.
+const MEMORY_LIMITS_MB: [u64; 2] = [64, 48];
+/// The body of a write, and the number of writes: more than either limit together.
+const WRITE_BYTES: usize = 48_000;
+const WRITES: u64 = 1600;
+/// The body of the largest object, and the number of requests for such objects.
+const LARGE_BODY_BYTES: usize = 240_000;
+const LARGE_REQUESTS: u64 = 400;
+/// Answers of small objects before the burst, by which small answers are expected.
+const SMALL_REQUESTS: u64 = 400;
+
+/// Answers each request at a server: with a body of its announced size in KB.
+fn answer_with_announced_size(listener: TcpListener) {
+    listener.set_nonblocking(false).unwrap();
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            spawn(move || {
+                let mut connection = LineConnection::new(stream);
+                while let Some(request) = connection.next_request() {
+                    let number = u64::from_str_radix(request.field("item"), 16).unwrap();
+                    let is_large = number >= SMALL_REQUESTS;
+                    let bytes = if is_large { LARGE_BODY_BYTES } else { 10 };
+                    connection.respond(&request, "OK", HIT_FIELDS, &body_of_length(bytes));
+                }
+            });
+        }
+    });
+}
+
+/// Requests small objects, so that further answers are expected to be small.
+fn warm_up(client: &mut TestClient) {
+    for number in 1..SMALL_REQUESTS {
+        let fields = format!("i={},o={number:016x},lot=1,m=0.01,d=4000", new_id());
+        client.send_raw_request(number, "page", fields, b"");
+        assert_eq!(client.read_answer_word(), "ACK");
+    }
+}
+
+/// The maximum of the router's own memory for this time, in KB.
+fn peak_memory_kb(router: &RouterProcess, duration: std::time::Duration) -> u64 {
+    let since = Instant::now();
+    let mut peak = 0;
+    wait_until("the end of the measurement", || {
+        peak = peak.max(router.anonymous_kb());
+        since.elapsed() > duration
+    });
+    peak
+}
+
+/// Sends requests on connections of their own, as many as each may carry.
+fn send_burst(
+    router: &RouterProcess,
+    requests: std::ops::Range<u64>,
+    mut send: impl FnMut(&mut TestClient, u64),
+) -> Vec<TestClient> {
+    let mut clients = Vec::new();
+    for (index, number) in requests.enumerate() {
+        if (index as u64).is_multiple_of(OPEN_REQUESTS) {
+            clients.push(router.connect());
+        }
+        send(clients.last_mut().unwrap(), number);
+    }
+    clients
+}
+
+/// Guards against a router that is killed for its memory: the bodies of requests were not counted.
+#[test]
+fn writes_that_no_server_answers_stay_within_the_memory_limit() {
+    for limit_mb in MEMORY_LIMITS_MB {
+        let environment = TestEnvironment::new().with_machine_limit("memory_mb", limit_mb);
+        let (environment, router, mut usual) = start_router_in(environment);
+        discard_requests(environment.server("o1").listener.try_clone().unwrap());
+        answer_with_announced_size(environment.server("c1").listener.try_clone().unwrap());
+        warm_up(&mut usual);
+        let body = body_of_length(WRITE_BYTES);
+        let mut clients = send_burst(&router, 1..WRITES + 1, |client, number| {
+            client.send_request(number, "confirm", "", &body);
+        });
+        let peak_kb = peak_memory_kb(&router, 500 * MS);
+        eprintln!("{limit_mb} MB: {peak_kb} KB");
+        assert!(peak_kb < limit_mb * 1024, "{peak_kb} KB of {limit_mb} MB");
+        for client in &mut clients {
+            for _ in 0..OPEN_REQUESTS {
+                let word = client.read_answer_word();
+                assert!(word == "NAK" || word == "FAIL", "{word}");
+            }
+        }
+        usual.send_request(1, "page", "", b"");
+        assert_eq!(usual.read_answer_word(), "ACK");
+    }
+}
+
+/// Sends a burst of requests for large objects to clients that do not read, and checks the peak of
+/// memory; then all answers, each of which is one of `allowed`. Returns how many were served.
+fn check_burst_of_large_answers(limit_mb: u64, stated_kb: f64, allowed: &[&str]) -> usize {
+    let environment = TestEnvironment::new().with_machine_limit("memory_mb", limit_mb);
+    let (environment, router, mut usual) = start_router_in(environment);
+    for server in &environment.servers {
+        answer_with_announced_size(server.listener.try_clone().unwrap());
+    }
+    warm_up(&mut usual);
+    let large = SMALL_REQUESTS..SMALL_REQUESTS + LARGE_REQUESTS;
+    let mut clients = send_burst(&router, large, |client, number| {
+        let fields = format!("i={},o={number:016x},lot=1,m={stated_kb},d=8000", new_id());
+        client.send_raw_request(number, "page", fields, b"");
+    });
+    let peak_kb = peak_memory_kb(&router, 1500 * MS);
+    eprintln!("{limit_mb} MB, {stated_kb} KB stated: {peak_kb} KB");
+    assert!(peak_kb < limit_mb * 1024, "{peak_kb} KB of {limit_mb} MB");
+    let mut served = 0;
+    for index in 0..LARGE_REQUESTS {
+        let client = &mut clients[(index / OPEN_REQUESTS) as usize];
+        let answer = client.read_answer();
+        assert!(allowed.contains(&answer.word.as_str()), "{}", answer.word);
+        served += usize::from(answer.word == "ACK");
+    }
+    usual.send_request(1, "page", "", b"");
+    assert_eq!(usual.read_answer_word(), "ACK");
+    served
+}
+
+/// Guards against a router that is killed for its memory: answers were expected to be as large as
+/// the earlier ones. What is accepted is served, if its client states its size.
+#[test]
+fn large_answers_to_clients_that_do_not_read_stay_within_the_memory_limit() {
+    for limit_mb in MEMORY_LIMITS_MB {
+        let served = check_burst_of_large_answers(limit_mb, 240.0, &["ACK", "NAK"]);
+        let fitting = (limit_mb << 20) as usize / 2 / (LARGE_BODY_BYTES + 10_000);
+        assert!(served >= fitting, "{served} served, {fitting} fit in");
+    }
+}
+
+/// The same with clients that state almost nothing: answers for which there is no memory are
+/// dropped, and their requests fail.
+#[test]
+fn large_answers_of_understated_size_stay_within_the_memory_limit() {
+    for limit_mb in MEMORY_LIMITS_MB {
+        let served = check_burst_of_large_answers(limit_mb, 0.01, &["ACK", "NAK", "FAIL"]);
+        assert!(served > 0, "nothing was served");
+    }
+}
--- a/crates/router/tests/program/support/fake_server.rs
+++ b/crates/router/tests/program/support/fake_server.rs
@@ -73,6 +73,20 @@
         (!line.is_empty()).then(|| self.parse_request(&line))
     }
 
+    /// Waits for the next request and ignores cancellations; `None` if the router closes the
+    /// connection.
+    pub fn next_request(&mut self) -> Option<ReceivedRequest> {
+        loop {
+            let line = self.read_line();
+            if line.is_empty() {
+                return None;
+            }
+            if !line.starts_with("QUIT ") {
+                return Some(self.parse_request(&line));
+            }
+        }
+    }
+
     /// Reads a request that has arrived; `None` if there is no data, or it is another line or the
     /// end of the connection.
     pub fn try_read_request(&mut self) -> Option<ReceivedRequest> {
--- a/crates/router/tests/program/support/test_client.rs
+++ b/crates/router/tests/program/support/test_client.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// A request id that is unique within this process.
-fn new_id() -> String {
+pub fn new_id() -> String {
     static LAST: AtomicU32 = AtomicU32::new(0);
     format!("{:016x}", LAST.fetch_add(1, Ordering::Relaxed))
 }
