--- a/src/lifecycle.rs
+++ b/src/lifecycle.rs
@@ -214,7 +214,9 @@
     fn may_reject(&self, now: Duration, request: &PendingRequest) -> bool {
         let effect = self.classes[request.arrival.class].effect;
         let is_certain = request.open_attempts == 0 || effect == Effect::Idempotent;
-        is_certain && self.is_safe_to_retry(now, request, &RetryTarget::Client)
+        // The client waits for as long as it is told before it tries again.
+        let retried_at = now + self.retry_after.unwrap_or_default();
+        is_certain && self.is_safe_to_retry(retried_at, request, &RetryTarget::Client)
     }
 
     /// Removes a finished request from the queues in which it waits, so that they do not grow with
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -43,9 +43,7 @@
     match (class.effect, class.group) {
         (Effect::Idempotent, _) => true,
         (Effect::NonIdempotent, _) => false,
-        (Effect::Deduplicated, Group::All) => {
-            is_remembered || matches!(target, RetryTarget::Client)
-        }
+        (Effect::Deduplicated, Group::All) => is_remembered,
         (Effect::Deduplicated, Group::Zone) => is_same_group(|member| member.zone as u64),
         (Effect::Deduplicated, Group::Cohort) => is_same_group(|member| member.cohort),
     }
--- a/src/retry/tests.rs
+++ b/src/retry/tests.rs
@@ -47,6 +47,14 @@
     assert!(!is_safe(&class, Some(&member(2, 2)), SENT_AT + WINDOW));
 }
 
+#[test]
+fn a_client_is_told_that_a_retry_is_safe_only_within_the_window() {
+    let class = class(Effect::Deduplicated, Group::All);
+    let before_end = SENT_AT + WINDOW - Duration::from_nanos(1);
+    assert!(is_safe(&class, None, before_end));
+    assert!(!is_safe(&class, None, SENT_AT + WINDOW));
+}
+
 #[test]
 fn a_deduplicated_request_is_retried_only_within_its_group() {
     let by_zone = class(Effect::Deduplicated, Group::Zone);
