Memory tests: stand-ins leave writes unanswered; clients that read late keep their time

Both failed beside sixteen busy loops only, on the tests' side.

Traced: c1 answered a write (ACK) that the router sent there after the hung origin, where the test says that no server answers; the stand-in now leaves requests with a body unanswered. And clients that had read nothing for over 8 s, their deadline, were closed, as docs/crossings.md says; the deadline is 60 s now. What is asserted is the same.

--- a/crates/router/tests/program/memory.rs
+++ b/crates/router/tests/program/memory.rs
@@ -72,14 +72,18 @@
 /// Answers of small objects before the burst, by which small answers are expected.
 const SMALL_REQUESTS: u64 = 400;
 
-/// Answers each request at a server: with a body of its announced size in KB.
-fn answer_with_announced_size(listener: TcpListener) {
+/// Answers each request for an object at a server, with a large body from [`SMALL_REQUESTS`] on.
+/// Writes, which have a body, are not answered.
+fn answer_reads(listener: TcpListener) {
     listener.set_nonblocking(false).unwrap();
     spawn(move || {
         for stream in listener.incoming().flatten() {
             spawn(move || {
                 let mut connection = LineConnection::new(stream);
                 while let Some(request) = connection.next_request() {
+                    if !request.body.is_empty() {
+                        continue;
+                    }
                     let number = u64::from_str_radix(request.field("item"), 16).unwrap();
                     let is_large = number >= SMALL_REQUESTS;
                     let bytes = if is_large { LARGE_BODY_BYTES } else { 10 };
@@ -133,7 +137,7 @@
         let environment = TestEnvironment::new().with_machine_limit("memory_mb", limit_mb);
         let (environment, router, mut usual) = start_router_in(environment);
         discard_requests(environment.server("o1").listener.try_clone().unwrap());
-        answer_with_announced_size(environment.server("c1").listener.try_clone().unwrap());
+        answer_reads(environment.server("c1").listener.try_clone().unwrap());
         warm_up(&mut usual);
         let body = body_of_length(WRITE_BYTES);
         let mut clients = send_burst(&router, 1..WRITES + 1, |client, number| {
@@ -159,12 +163,12 @@
     let environment = TestEnvironment::new().with_machine_limit("memory_mb", limit_mb);
     let (environment, router, mut usual) = start_router_in(environment);
     for server in &environment.servers {
-        answer_with_announced_size(server.listener.try_clone().unwrap());
+        answer_reads(server.listener.try_clone().unwrap());
     }
     warm_up(&mut usual);
     let large = SMALL_REQUESTS..SMALL_REQUESTS + LARGE_REQUESTS;
     let mut clients = send_burst(&router, large, |client, number| {
-        let fields = format!("i={},o={number:016x},lot=1,m={stated_kb},d=8000", new_id());
+        let fields = format!("i={},o={number:016x},lot=1,m={stated_kb},d=60000", new_id());
         client.send_raw_request(number, "page", fields, b"");
     });
     let peak_kb = peak_memory_kb(&router, 1500 * MS);
