--- a/crates/router/src/decider/memory_account.rs
+++ b/crates/router/src/decider/memory_account.rs
@@ -118,9 +118,10 @@
     }
 
     /// Whether the body of a received answer is within the limit. Memory was reserved for it if its
-    /// client stated its size. If not, the answer is counted as dropped.
+    /// client stated its size. If not, the answer is counted as dropped. An answer without a body
+    /// takes nothing.
     pub(super) fn admits_answer(&mut self, body_bytes: usize) -> bool {
-        let fits = self.present() + body_bytes <= self.limit;
+        let fits = body_bytes == 0 || self.present() + body_bytes <= self.limit;
         self.dropped_answers += u64::from(!fits);
         fits
     }
--- a/crates/router/src/decider/memory_account/tests.rs
+++ b/crates/router/src/decider/memory_account/tests.rs
@@ -70,3 +70,11 @@
     account.remove_unwritten(MAX_BODY_BYTES as usize);
     assert!(account.admits_answer(MAX_BODY_BYTES as usize));
 }
+
+#[test]
+fn an_answer_without_a_body_is_admitted_however_much_is_held() {
+    let mut account = account();
+    account.add_unwritten(MEMORY as usize);
+    assert!(account.admits_answer(0));
+    assert!(!account.admits_answer(1));
+}
--- a/src/mean_work.rs
+++ b/src/mean_work.rs
@@ -56,7 +56,7 @@
         let median = self.median();
         let (least, most) = (median / MAX_DEVIATION, median * MAX_DEVIATION);
         let (mut sum, mut count) = (0.0, 0.0);
-        for group in self.heard() {
+        for group in self.known_groups() {
             sum += group.seconds.clamp(least, most);
             count += 1.0;
         }
@@ -68,7 +68,7 @@
     fn median(&self) -> f64 {
         let mut means = [0.0; GROUPS];
         let mut count = 0;
-        for group in self.heard() {
+        for group in self.known_groups() {
             means[count] = group.seconds;
             count += 1;
         }
@@ -78,7 +78,7 @@
     }
 
     /// The groups from which at least one request was answered.
-    fn heard(&self) -> impl Iterator<Item = &GroupMean> {
+    fn known_groups(&self) -> impl Iterator<Item = &GroupMean> {
         self.groups.iter().filter(|group| group.requests > 0.0)
     }
 }
