--- /dev/null
+++ b/review/standins-2/memory.rs
@@ -0,0 +1,150 @@
+//! Hundreds of requests at once from one client that states no sizes, against the limit of memory.
+
+use crate::rig::*;
+use crate::settings::{SETTINGS, with};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{sleep, spawn};
+use std::time::{Duration, Instant};
+
+/// The limits of the router, within those that the pages name.
+const MEMORY_MB: u64 = 48;
+const SOCKETS: u64 = 256;
+/// Usual traffic: requests a second, and the size of an object.
+const USUAL_RATE: f64 = 950.0;
+const USUAL_BYTES: usize = 8_000;
+const USUAL_CONNECTIONS: u64 = 40;
+const USUAL_SECONDS: u64 = 15;
+/// The other client: requests at once, on connections of 32 each, for the largest objects.
+const BURST: u64 = 600;
+const OPEN_REQUESTS: u64 = 32;
+const LARGE_BYTES: usize = 240_000;
+/// How long a cache server takes to fill.
+const FILL: u64 = 20;
+const LARGE_FILL: u64 = 500;
+/// Large objects begin with `f`.
+fn is_large(object: &str) -> bool {
+    object.starts_with('f')
+}
+
+pub fn run(case: &Case) -> ! {
+    let board = Board::start(1);
+    let start = |name: &str| {
+        Server::start(name, |ask, reply| {
+            let large = is_large(ask.field("item"));
+            let (bytes, fill) = if large { (LARGE_BYTES, LARGE_FILL) } else { (USUAL_BYTES, FILL) };
+            if large {
+                record(&format!("{}: ASK {} item={} -> {bytes} bytes", ask.server, ask.id, ask.field("item")));
+            }
+            later(ms(fill), move || {
+                let fields = format!("tell=filled,ttfb=1.5,etag={},made={}", ask.field("item"), unix_ms());
+                let send = move || reply.send("OK", &fields, &vec![b'x'; bytes]);
+                // A large answer takes a while to write; others don't wait for it.
+                if large { drop(spawn(send)) } else { send() }
+            });
+        })
+    };
+    let caches: Vec<Server> = (1..=4).map(|number| start(&format!("c{number}"))).collect();
+    let (parent, origin) = (start("p1"), start("o1"));
+    let mut hosts: Vec<String> =
+        caches.iter().map(|cache| host(&cache.name, cache.address, "box", "active", 40.0, 0)).collect();
+    hosts.push(host("p1", parent.address, "parent", "active", 40.0, 0));
+    hosts.push(host("o1", origin.address, "origin", "active", 40.0, 0));
+    // One of three routers of its zone.
+    let settings = with(&with(SETTINGS, "PeersTotal", "3"), "CrewByZone", "[3]");
+    let settings = with(&settings, "PeerMessages", "false");
+    let mut config = RouterConfig::new("n1", &board, vec![pool(1, true, &hosts)], &settings);
+    (config.memory_mb, config.sockets) = (MEMORY_MB, SOCKETS);
+    let router = Arc::new(Router::start(case, &config));
+
+    // The platform: over its memory, the router is killed.
+    let peak = Arc::new(std::sync::Mutex::new(0));
+    let (platform_peak, watched) = (peak.clone(), router.clone());
+    spawn(move || {
+        loop {
+            let now_kb = watched.memory_kb("RssAnon");
+            let mut peak = platform_peak.lock().unwrap();
+            *peak = now_kb.max(*peak);
+            drop(peak);
+            if now_kb > MEMORY_MB * 1024 {
+                record(&format!("platform: {now_kb} KB are over {MEMORY_MB} MB: the router is killed"));
+                watched.signal("KILL");
+                return;
+            }
+            sleep(ms(2));
+        }
+    });
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let begin = Instant::now();
+    let usual: Vec<_> = (0..USUAL_CONNECTIONS)
+        .map(|index| {
+            let (stop, listen) = (stop.clone(), router.listen);
+            spawn(move || usual_client(listen, index, begin, &stop))
+        })
+        .collect();
+    sleep(Duration::from_secs(USUAL_SECONDS));
+    record(&format!("usual traffic: peak {} KB", *peak.lock().unwrap()));
+
+    let mut words: BTreeMap<String, u64> = BTreeMap::new();
+    if case.trouble {
+        let clients: Vec<Client> = (0..BURST.div_ceil(OPEN_REQUESTS))
+            .filter_map(|_| Client::connect(router.listen).ok())
+            .collect();
+        let sent: Vec<(&Client, u64)> = (0..BURST)
+            .filter_map(|number| {
+                let client = clients.get((number / OPEN_REQUESTS) as usize)?;
+                let id = new_id();
+                let object = format!("f{number:015x}");
+                record(&format!("other client: REQ i={id} o={object}, no size"));
+                let fields = format!("i={id},d=4000,o={object},piece=0,lot=3");
+                Some((client, client.request("video", &fields, b"")))
+            })
+            .collect();
+        for (client, tag) in sent {
+            let word = client.wait(tag, ms(4500)).map_or("no answer".to_owned(), |answer| answer.word);
+            *words.entry(word).or_default() += 1;
+        }
+        record(&format!("other client: answers {words:?}"));
+    }
+    sleep(Duration::from_secs(2));
+    stop.store(true, Ordering::Relaxed);
+    let unanswered: usize = usual.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    let peak = *peak.lock().unwrap();
+    record(&format!("peak of anonymous memory: {peak} KB, limit {} KB", MEMORY_MB * 1024));
+    record(&format!("usual requests without an answer: {unanswered}; router ended: {:?}", router.ended()));
+    if peak > MEMORY_MB * 1024 {
+        finish(BROKEN, &format!("the router held {peak} KB of {MEMORY_MB} MB and was killed, {unanswered} usual requests had no answer"));
+    }
+    if router.ended().is_some() || unanswered > 0 {
+        finish(BROKEN, "the router ended, or left usual requests without an answer");
+    }
+    finish(HELD, &format!("the router held {peak} KB of {MEMORY_MB} MB"))
+}
+
+/// A usual client, which states its sizes. Returns how many of its requests had no answer.
+fn usual_client(listen: std::net::SocketAddr, index: u64, begin: Instant, stop: &AtomicBool) -> usize {
+    let Ok(client) = Client::connect(listen) else { return 1 };
+    let mut unanswered = 0;
+    for number in 0.. {
+        let turn = (number * USUAL_CONNECTIONS + index) as f64 / USUAL_RATE;
+        sleep((begin + Duration::from_secs_f64(turn)).saturating_duration_since(Instant::now()));
+        if stop.load(Ordering::Relaxed) {
+            break;
+        }
+        let (id, object) = (new_id(), format!("0{:015x}", number * USUAL_CONNECTIONS + index));
+        let fields = format!("i={id},d=2500,o={object},piece=0,lot=17,m=8");
+        let tag = client.request("video", &fields, b"");
+        let word = client.wait(tag, ms(3050)).map(|answer| answer.word);
+        if word.as_deref() != Some("ACK") {
+            record(&format!("usual client: i={id} o={object} -> {word:?}"));
+        }
+        if word.is_none() {
+            unanswered += 1;
+            // A client that lost its router does not come back here.
+            break;
+        }
+    }
+    unanswered
+}
