Review case 7: cold servers that join after a quiet time get more than they bear

Cause: the weight of a request at a cold cache is the mean of the first few answers, which are the smallest. Change: a case with its script.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review: `case NAME FOLDER ROOT`. Each writes `record.txt` into its
 //! folder and ends with 1 if its rule was broken, 0 if it held, 2 if it could not run.
 
+mod cold;
 mod memory;
 mod rig;
 mod settings;
@@ -15,6 +16,7 @@
     };
     let case = rig::Case::open(Path::new(folder), Path::new(root));
     match name.as_str() {
+        "cold" => cold::run(&case),
         "memory" => memory::run(&case),
         _ => rig::finish(rig::COULD_NOT_RUN, "no such case"),
     }
