Review case 8: a purge during an outage of discovery, and the router's own copies

Cause: a copy fetched while discovery is down is used for 2 s from its creation, whatever is purged meanwhile. Change: a case with its script.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 
 mod cold;
 mod memory;
+mod outage;
 mod rig;
 mod settings;
 
@@ -18,6 +19,7 @@
     match name.as_str() {
         "cold" => cold::run(&case),
         "memory" => memory::run(&case),
+        "outage" => outage::run(&case),
         _ => rig::finish(rig::COULD_NOT_RUN, "no such case"),
     }
 }
