--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 root=$(cd "$folder/../.." && pwd) || exit 2
 [ -x "$root/target/review-2/case" ] || exit 2
-exec "$root/target/review-2/case" outage "$folder" "$root"
+exec "$root/target/review-2/case" history "$folder" "$root"
