--- a/review/standins-2/memory.rs
+++ b/review/standins-2/memory.rs
@@ -5,7 +5,7 @@
 use crate::settings::{SETTINGS, with};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
 
@@ -39,6 +39,11 @@
 /// How long a cache server takes to fill.
 const FILL: u64 = 20;
 const LARGE_FILL: u64 = 500;
+/// Usual requests that were sent, that were served, and that reached a server.
+static SENT: AtomicU64 = AtomicU64::new(0);
+static SERVED: AtomicU64 = AtomicU64::new(0);
+static ASKED: AtomicU64 = AtomicU64::new(0);
+
 /// Large objects begin with `f`.
 fn is_large(object: &str) -> bool {
     object.starts_with('f')
@@ -51,7 +56,9 @@
         Server::start(name, |ask, reply| {
             let large = is_large(ask.field("item"));
             let (bytes, fill) = if large { (LARGE_BYTES, LARGE_FILL) } else { (USUAL_BYTES, FILL) };
-            if large {
+            if !large {
+                ASKED.fetch_add(1, Ordering::Relaxed);
+            } else {
                 record(&format!("{}: ASK {} item={} -> {bytes} bytes", ask.server, ask.id, ask.field("item")));
             }
             later(ms(fill), move || {
@@ -93,6 +100,16 @@
         }
     });
 
+    let watched = router.clone();
+    spawn(move || {
+        loop {
+            sleep(Duration::from_secs(1));
+            let [sent, served, asked] = [&SENT, &SERVED, &ASKED].map(|n| n.load(Ordering::Relaxed));
+            let now_kb = watched.memory_kb("RssAnon");
+            record(&format!("usual requests so far: {sent} sent, {served} ACK, {asked} reached a server; router {now_kb} KB"));
+        }
+    });
+
     let stop = Arc::new(AtomicBool::new(false));
     let begin = Instant::now();
     let usual: Vec<_> = (0..USUAL_CONNECTIONS)
@@ -163,8 +180,11 @@
         let (id, object) = (new_id(), format!("0{:015x}", number * USUAL_CONNECTIONS + index));
         let fields = format!("i={id},d=2500,o={object},piece=0,lot=17,m=8");
         let tag = client.request("video", &fields, b"");
+        SENT.fetch_add(1, Ordering::Relaxed);
         let word = client.wait(tag, ms(3050)).map(|answer| answer.word);
-        if word.as_deref() != Some("ACK") {
+        if word.as_deref() == Some("ACK") {
+            SERVED.fetch_add(1, Ordering::Relaxed);
+        } else {
             record(&format!("usual client: i={id} o={object} -> {word:?}"));
         }
         if word.is_none() {
