All allocations count against the memory; the access history has a share of it

Cause: half of the memory was for bodies, a quarter for local copies, and the access history took 10 MB at any limit (65,536 parts of some 150 bytes). It stood in no account, nor did connections, tables and freed pages that the allocator keeps.

Change: the router's global allocator counts every allocation. The access history has an eighth of the memory, so that at 74 MB and above nothing changes for it. `memory stat` shows what is allocated, and what of it stands in no account.

--- a/crates/router/src/configuration.rs
+++ b/crates/router/src/configuration.rs
@@ -17,6 +17,8 @@
 const DEFAULT_IDLE_CLOSE: Duration = Duration::from_secs(30);
 const DEFAULT_STREAMS: u64 = 100;
 const DEFAULT_OPEN_REQUESTS: u64 = 20_000;
+/// The part of the process' memory that the access history may take.
+const ACCESS_HISTORY_DIVISOR: u64 = 8;
 /// Minimum number of descriptors that a router needs to run.
 const MIN_SOCKETS: u64 = 64;
 
@@ -215,7 +217,9 @@
     let discovery = Setting::from_file(file, "board")?.into_address()?;
     let seed = parse_seed(file)?;
     let settings = object(file, "settings")?;
-    let deployment = deployment::deployment(seed, settings).map_err(in_section("settings"))?;
+    let limits = parse_limits(file, settings)?;
+    let mut deployment = deployment::deployment(seed, settings).map_err(in_section("settings"))?;
+    deployment.access_history_bytes = Some((limits.memory / ACCESS_HISTORY_DIVISOR) as usize);
     let named = deployment::names(settings).map_err(in_section("settings"))?;
     if deployment.classes.is_empty() {
         return Err(ConfigurationError::NoClasses);
@@ -238,7 +242,7 @@
         deployment,
         classes: named.classes,
         tenants: named.customers,
-        limits: parse_limits(file, settings)?,
+        limits,
         link_capacity: parse_link_capacity(file)?,
         peers: parse_peers(file, settings)?,
         restart_only_values: RESTART_ONLY_KEYS
--- a/crates/router/src/decider/admission.rs
+++ b/crates/router/src/decider/admission.rs
@@ -83,8 +83,10 @@
         let held = dispatcher.memory.held_with(body_bytes, arrival.kb);
         if let Some(local_cache) = &mut dispatcher.local_cache {
             local_cache.evict_for_bodies(held as u64);
+            local_cache.evict_bytes(dispatcher.memory.excess_with(arrival.kb) as u64);
         }
-        dispatcher.requests.len() < self.limits.open_requests && dispatcher.memory.admits(held)
+        dispatcher.requests.len() < self.limits.open_requests
+            && dispatcher.memory.admits(body_bytes, arrival.kb)
     }
 
     fn is_non_idempotent(&self, arrival: &IncomingRequest) -> bool {
--- a/crates/router/src/decider/dispatcher.rs
+++ b/crates/router/src/decider/dispatcher.rs
@@ -108,7 +108,7 @@
         if !std::mem::take(&mut attempt.is_open) {
             return None;
         }
-        self.memory.release(attempt.reserved_bytes);
+        attempt.reservation.release();
         Some(ClosedAttempt {
             server: attempt.server.clone(),
             is_at_server: attempt.commands.is_some(),
@@ -142,7 +142,7 @@
             server: server.clone(),
             sent_at: self.now,
             is_open: true,
-            reserved_bytes: self.memory.reserve(pending.arrival.kb),
+            reservation: self.memory.reserve(pending.arrival.kb),
         });
         true
     }
@@ -215,7 +215,7 @@
             server: server.clone(),
             sent_at: self.now,
             is_open: true,
-            reserved_bytes: self.memory.reserve(pending.arrival.kb),
+            reservation: self.memory.reserve(pending.arrival.kb),
         });
     }
 
--- a/crates/router/src/decider/event_loop.rs
+++ b/crates/router/src/decider/event_loop.rs
@@ -64,6 +64,7 @@
         self.fire_timers();
         let late = self.dispatcher.now.saturating_sub(planned_wakeup);
         self.run_background_work(late);
+        self.dispatcher.memory.release_freed_pages();
     }
 
     fn fire_timers(&mut self) {
--- a/crates/router/src/decider/memory_account.rs
+++ b/crates/router/src/decider/memory_account.rs
@@ -1,7 +1,9 @@
 //! The memory that the router holds for clients and servers, in one account: a new request is
 //! rejected if it does not fit in.
 
+use crate::memory::{MemoryBudget, Reservation, release_freed_pages};
 use serde_json::{Value, json};
+use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Semaphore;
 
@@ -15,6 +17,9 @@
 /// timers and its attempts.
 const REQUEST_BYTES: usize = 2048;
 
+/// Freed pages are returned to the system once they are this part of the process' memory.
+const FREED_PAGES_DIVISOR: u64 = 16;
+
 /// The part of the process' memory for bodies on their way from client connections to the decider.
 const ARRIVING_DIVISOR: u64 = 16;
 /// At least a few of the largest requests can be on their way.
@@ -52,13 +57,15 @@
 /// The bytes held, by use, and their limit.
 #[derive(Debug)]
 pub(super) struct MemoryAccount {
-    /// The limit for all uses together.
+    /// All memory of the process, with what is reserved for the answers of attempts in progress.
+    budget: Rc<MemoryBudget>,
+    /// The limit for the uses below together.
     limit: usize,
+    /// Freed pages of up to this many bytes remain in memory.
+    max_freed_bytes: usize,
     open_requests: usize,
     /// Bodies of open requests.
     request_bodies: usize,
-    /// Reserved for the answers of attempts in progress.
-    expected_answers: usize,
     /// Bodies of answers that have not been written to clients yet.
     unwritten_answers: usize,
     expected_body: ExpectedBody,
@@ -81,10 +88,11 @@
         MemoryAccount {
             arriving_bodies: Arc::new(Semaphore::new(max_arriving_bytes)),
             max_arriving_bytes,
+            budget: MemoryBudget::new(process_memory),
             limit: (process_memory / 2) as usize,
+            max_freed_bytes: (process_memory / FREED_PAGES_DIVISOR) as usize,
             open_requests: 0,
             request_bodies: 0,
-            expected_answers: 0,
             unwritten_answers: 0,
             expected_body: ExpectedBody {
                 mean_bytes: MAX_BODY_BYTES,
@@ -102,17 +110,27 @@
 
     /// The bytes held and reserved.
     pub(super) fn held(&self) -> usize {
-        self.present() + self.expected_answers
+        self.present() + self.budget.reserved()
     }
 
     /// The bytes held with one more request: its body, and its answer, which has the stated size.
     pub(super) fn held_with(&self, body_bytes: usize, kb: f64) -> usize {
-        self.held() + REQUEST_BYTES + body_bytes + self.expected_body.bytes(kb)
+        self.held() + body_bytes + self.growth_with(kb)
+    }
+
+    /// The bytes that are allocated or reserved for one more request whose body has been received.
+    fn growth_with(&self, kb: f64) -> usize {
+        REQUEST_BYTES + self.expected_body.bytes(kb)
+    }
+
+    /// By how many bytes the memory of the process would be exceeded with one more request.
+    pub(super) fn excess_with(&self, kb: f64) -> usize {
+        self.budget.excess_with(self.growth_with(kb))
     }
 
-    /// Whether this many bytes are within the limit. If not, a request is counted as rejected.
-    pub(super) fn admits(&mut self, bytes: usize) -> bool {
-        let fits = bytes <= self.limit;
+    /// Whether one more request is within the limits. If not, it is counted as rejected.
+    pub(super) fn admits(&mut self, body_bytes: usize, kb: f64) -> bool {
+        let fits = self.held_with(body_bytes, kb) <= self.limit && self.excess_with(kb) == 0;
         self.rejected += u64::from(!fits);
         fits
     }
@@ -143,18 +161,15 @@
         self.request_bodies -= body_bytes;
     }
 
-    /// Reserves memory for the answer of an attempt. The result is passed to
-    /// [`MemoryAccount::release`] when the attempt ends.
+    /// Reserves memory for the answer of an attempt.
     #[must_use]
-    pub(super) fn reserve(&mut self, kb: f64) -> usize {
-        let bytes = self.expected_body.bytes(kb);
-        self.expected_answers += bytes;
-        bytes
+    pub(super) fn reserve(&self, kb: f64) -> Rc<Reservation> {
+        self.budget.reserve(self.expected_body.bytes(kb))
     }
 
-    /// Releases what was reserved for an attempt.
-    pub(super) fn release(&mut self, reserved: usize) {
-        self.expected_answers -= reserved;
+    /// Returns the pages of freed memory to the system, once there are many.
+    pub(super) fn release_freed_pages(&self) {
+        release_freed_pages(self.max_freed_bytes);
     }
 
     /// Learns from a received answer how large answers are.
@@ -179,14 +194,22 @@
 
     /// The account as an operator sees it, in bytes. `local_copies` is the memory of the local
     /// cache, which gives way to the other uses.
+    ///
+    /// What is allocated for none of these uses, as by connections, tables and the program itself,
+    /// is reported as `uncounted`.
     pub(super) fn report(&self, local_copies: u64) -> Value {
+        let allocated = self.budget.allocated();
+        let counted = self.present() + local_copies as usize;
         json!({
             "limit": self.limit,
+            "allocated": allocated,
+            "max_allocated": self.budget.limit(),
+            "uncounted": allocated.saturating_sub(counted),
             "arriving_bodies": self.max_arriving_bytes - self.arriving_bodies.available_permits(),
             "held": self.held(),
             "open_requests": self.open_requests * REQUEST_BYTES,
             "request_bodies": self.request_bodies,
-            "expected_answers": self.expected_answers,
+            "expected_answers": self.budget.reserved(),
             "unwritten_answers": self.unwritten_answers,
             "local_copies": local_copies,
             "rejected": self.rejected,
--- a/crates/router/src/decider/memory_account/tests.rs
+++ b/crates/router/src/decider/memory_account/tests.rs
@@ -24,9 +24,10 @@
     account.open_request(48_000);
     let reserved = account.reserve(50.0);
     account.add_unwritten(1000);
-    assert_eq!(account.held(), REQUEST_BYTES + 48_000 + reserved + 1000);
-    assert!((5000..5010).contains(&reserved), "{reserved}");
-    account.release(reserved);
+    let expected = reserved.bytes();
+    assert_eq!(account.held(), REQUEST_BYTES + 48_000 + expected + 1000);
+    assert!((5000..5010).contains(&expected), "{expected}");
+    reserved.release();
     account.remove_unwritten(1000);
     account.close_request(48_000);
     assert_eq!(account.held(), 0);
@@ -39,11 +40,11 @@
     let large = account.held_with(0, 2000.0);
     assert!(large > small + 190_000, "{large}, {small}");
     assert!(large <= REQUEST_BYTES + MAX_BODY_BYTES as usize);
+    let mut reservations = Vec::new();
     while account.held_with(0, 2000.0) <= (MEMORY / 2) as usize {
-        let _ = account.reserve(2000.0);
+        reservations.push(account.reserve(2000.0));
     }
-    let full = account.held_with(0, 2000.0);
-    assert!(!account.admits(full));
+    assert!(!account.admits(0, 2000.0));
     assert_eq!(account.report(0)["rejected"], 1);
 }
 
@@ -61,7 +62,7 @@
 #[test]
 fn an_answer_beyond_the_limit_is_dropped_although_little_was_expected() {
     let mut account = account();
-    let _ = account.reserve(0.01);
+    let _reservation = account.reserve(0.01);
     while account.admits_answer(MAX_BODY_BYTES as usize) {
         account.add_unwritten(MAX_BODY_BYTES as usize);
     }
--- a/crates/router/src/decider/requests.rs
+++ b/crates/router/src/decider/requests.rs
@@ -1,9 +1,11 @@
 //! The table of open requests and their attempts.
 
+use crate::memory::Reservation;
 use crate::messages::{CancellationFlag, ClientReply, ServerCommand};
 use crate::server_protocol::ForwardedFields;
 use chalkhall::interface::{Id, IncomingRequest};
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
@@ -54,8 +56,8 @@
     pub(super) server: Id,
     pub(super) sent_at: Duration,
     pub(super) is_open: bool,
-    /// Memory that is reserved for its answer while it is open.
-    pub(super) reserved_bytes: usize,
+    /// Memory that is reserved for its answer.
+    pub(super) reservation: Rc<Reservation>,
 }
 
 /// All open requests, by id.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -19,6 +19,7 @@
 mod listener;
 pub mod local_cache;
 pub mod logging;
+pub mod memory;
 mod messages;
 mod operator_query;
 mod rate_limited_log;
@@ -47,6 +48,7 @@
 /// # Errors
 /// If the router cannot start, or its decider panics.
 pub fn serve(directives: Directives, directives_path: Option<PathBuf>) -> Result<(), RouterError> {
+    memory::configure_heap();
     let clock = Clock::start();
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
--- a/crates/router/src/local_cache.rs
+++ b/crates/router/src/local_cache.rs
@@ -378,6 +378,14 @@
         }
     }
 
+    /// Evicts copies of about so many bytes from memory.
+    pub fn evict_bytes(&mut self, bytes: u64) {
+        if bytes > 0 {
+            let capacity = self.store.memory().bytes().saturating_sub(bytes);
+            self.store.evict_to(capacity);
+        }
+    }
+
     /// Handles the end of a disk operation.
     pub fn complete_disk_operation(&mut self, operation: CompletedOperation) {
         if let CompletedOperation::Opened { .. } = &operation {
--- a/crates/router/src/main.rs
+++ b/crates/router/src/main.rs
@@ -1,9 +1,14 @@
 //! `chalkhall-router`: the router process that the platform starts.
 
+use chalkhall_router::memory::CountingAllocator;
 use clap::Parser;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Counts what is allocated against the limit of memory.
+#[global_allocator]
+static ALLOCATOR: CountingAllocator = CountingAllocator;
+
 /// One chalkhall router on real sockets.
 ///
 /// It is configured by the environment: ROUTER_CONFIG is the path of a JSON file; ROUTER_NAME and
--- /dev/null
+++ b/crates/router/src/memory.rs
@@ -0,0 +1,7 @@
+//! The memory of the process: what is allocated, and whether there is room for more.
+
+mod allocator;
+mod budget;
+
+pub use allocator::{CountingAllocator, configure_heap, release_freed_pages};
+pub use budget::{MemoryBudget, Reservation};
--- a/crates/router/tests/program/memory.rs
+++ b/crates/router/tests/program/memory.rs
@@ -64,6 +64,64 @@
     );
 }
 
+/// The least memory that a router is run with, in MB.
+const LEAST_MEMORY_MB: u64 = 32;
+/// The part of the memory that the access history may take.
+const HISTORY_DIVISOR: u64 = 8;
+/// Rounds of requests for ever new objects: more objects than fit in the history's share.
+const FIRST_OBJECTS_ROUNDS: u64 = 100;
+const NEW_OBJECTS_ROUNDS: u64 = 1400;
+
+/// Answers each request at a server with a small body.
+fn answer_with_small_bodies(listener: TcpListener) {
+    listener.set_nonblocking(false).unwrap();
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            stream.set_nodelay(true).unwrap();
+            spawn(move || {
+                let mut connection = LineConnection::new(stream);
+                while let Some(request) = connection.next_request() {
+                    connection.respond(&request, "OK", HIT_FIELDS, b"small");
+                }
+            });
+        }
+    });
+}
+
+/// Requests ever new objects, as many at a time as a connection may carry.
+fn request_new_objects(client: &mut TestClient, rounds: u64, next_tag: &mut u64) {
+    for _ in 0..rounds {
+        let tags = *next_tag..*next_tag + OPEN_REQUESTS;
+        for tag in tags.clone() {
+            let fields = format!("i={tag:016x},d=60000,o={tag:016x},lot=7,m=0.01");
+            client.send_raw_request(tag, "page", fields, b"");
+        }
+        for _ in tags.clone() {
+            assert_eq!(client.read_answer_word(), "ACK");
+        }
+        *next_tag = tags.end;
+    }
+}
+
+/// Guards against a router that is killed for its memory: the access history took 10 MB at any
+/// limit of memory, and was not counted.
+#[test]
+fn the_access_history_takes_no_more_than_its_share_of_the_memory() {
+    let environment = TestEnvironment::new().with_machine_limit("memory_mb", LEAST_MEMORY_MB);
+    let (environment, router, mut client) = start_router_in(environment);
+    for server in &environment.servers {
+        answer_with_small_bodies(server.listener.try_clone().unwrap());
+    }
+    let mut next_tag = 10_000;
+    warm_up(&mut client);
+    request_new_objects(&mut client, FIRST_OBJECTS_ROUNDS, &mut next_tag);
+    let before_kb = router.anonymous_kb();
+    request_new_objects(&mut client, NEW_OBJECTS_ROUNDS, &mut next_tag);
+    let growth_kb = router.anonymous_kb().saturating_sub(before_kb);
+    let share_kb = LEAST_MEMORY_MB * 1024 / HISTORY_DIVISOR;
+    assert!(growth_kb <= share_kb, "{growth_kb} KB of {share_kb} KB");
+}
+
 /// Limits of memory under which a burst is handled, in MB.
 const MEMORY_LIMITS_MB: [u64; 2] = [64, 48];
 /// The body of a write, and the number of writes: more than either limit together.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -249,6 +249,7 @@
         },
         list_on_request: string(options, "RegistryMode")? == "ask",
         list_request_interval: duration_of(&rules, "AskWithin")?,
+        access_history_bytes: None,
     })
 }
 
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -9,8 +9,11 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The capacity of the access history, in parts.
-const HISTORY_CAPACITY: NonZeroUsize = NonZeroUsize::new(65536).unwrap();
+/// The maximum capacity of the access history, in parts.
+const MAX_HISTORY_PARTS: NonZeroUsize = NonZeroUsize::new(65536).unwrap();
+/// The memory that a part in the access history takes, in bytes: its history, its key, the links of
+/// the list, the allocator's overhead, and its places in a hash table that is half full.
+const HISTORY_PART_BYTES: usize = size_of::<PartHistory>() + 8 + 16 + 16 + 2 * 17;
 /// The number of repeated accesses before admission rejects low-value parts; also the number of
 /// first accesses over which the hit share is averaged.
 const ACCESSES_BEFORE_ADMISSION: usize = 64;
@@ -75,17 +78,28 @@
 
 impl Default for AccessHistory {
     fn default() -> AccessHistory {
+        AccessHistory::with_capacity(MAX_HISTORY_PARTS)
+    }
+}
+
+impl AccessHistory {
+    /// An empty history that takes at most so many bytes of memory, and holds at most
+    /// [`MAX_HISTORY_PARTS`].
+    pub fn within(bytes: usize) -> AccessHistory {
+        let parts = NonZeroUsize::new(bytes / HISTORY_PART_BYTES).unwrap_or(NonZeroUsize::MIN);
+        AccessHistory::with_capacity(parts.min(MAX_HISTORY_PARTS))
+    }
+
+    fn with_capacity(parts: NonZeroUsize) -> AccessHistory {
         AccessHistory {
-            parts: LruCache::new(HISTORY_CAPACITY),
+            parts: LruCache::new(parts),
             request_count: 0,
             scores: RecentQuantiles::new(RECENT_ACCESSES),
             values: RecentQuantiles::new(RECENT_ACCESSES),
             first_access_hit_share: 0.0,
         }
     }
-}
 
-impl AccessHistory {
     /// Records an access and returns the priority at which a copy is retained; 0: not retained.
     /// `fresh_for` is how long a copy stays fresh; with `is_shared`, a first access counts as a
     /// repeated one.
--- a/src/admission/tests.rs
+++ b/src/admission/tests.rs
@@ -69,3 +69,17 @@
         DEFAULT_PRIORITY
     );
 }
+
+/// Guards against a router that is killed for its memory: the access history had the same number of
+/// parts whatever the limit of memory.
+#[test]
+fn the_access_history_is_bounded_by_the_memory_for_it() {
+    let mut history = AccessHistory::within(100 * HISTORY_PART_BYTES);
+    for number in 0..1000 {
+        history.record_access(NOW, &arrival(&number.to_string()), None, false);
+    }
+    assert_eq!(history.parts.len(), 100);
+    assert!(HISTORY_PART_BYTES >= 128, "{HISTORY_PART_BYTES}");
+    let unlimited = AccessHistory::within(usize::MAX);
+    assert_eq!(unlimited.parts.cap(), MAX_HISTORY_PARTS);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -185,6 +185,9 @@
     pub list_on_request: bool,
     /// The maximum interval between two requests for the list.
     pub list_request_interval: Duration,
+    /// The memory that the access history may take, in bytes; `None`: unlimited, up to a fixed
+    /// number of parts.
+    pub access_history_bytes: Option<usize>,
 }
 
 /// The administrative state of a listed server.
--- a/src/router.rs
+++ b/src/router.rs
@@ -101,6 +101,9 @@
             slow_start: SlowStart::new(now, deployment, routers_in_zone),
             purges: PurgeLog::new(now, deployment.purge_done + max_action_delay),
             random: fastrand::Rng::with_seed(deployment.seed),
+            access_history: deployment
+                .access_history_bytes
+                .map_or_else(AccessHistory::default, AccessHistory::within),
             ..Router::default()
         }
     }
