Bodies of answers are admitted by their length before memory is allocated

Change: the decoder asks for each body when it has decoded the line, before it allocates memory. The attempt's reservation is exchanged for the true size, if that is within the limit together with all that is allocated and reserved. If not, or if nothing waits for the answer any more, its bytes are discarded as they come, and the request fails. A body is received into a buffer of its size, lines are copied out of the read buffer, and between reads a connection keeps what it has received. The bodies of requests are written from where they are: each connection made a copy, which doubled them. The queue of chunks to be written, so far the client connection's, is a module that both use.

--- a/crates/router/src/client_connection/write_buffer.rs
+++ b/crates/router/src/client_connection/write_buffer.rs
@@ -1,24 +1,22 @@
 //! Buffers the responses of one connection until they are written.
 
+use crate::chunk_queue::ChunkQueue;
 use crate::client_protocol::{RESPONSE_END, ResponseStatus, response_head};
 use crate::messages::FinalAnswer;
 use crate::retrying_stream::RetryingStream;
-use bytes::{Buf, Bytes};
-use std::collections::VecDeque;
-use std::io::{self, IoSlice};
+use bytes::Bytes;
+use std::io;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::time::Instant;
 
 /// The chunks of a response: the head, the body and the terminator.
 pub(super) const CHUNKS_PER_RESPONSE: usize = 3;
-/// Chunks passed to one vectored write.
-const MAX_CHUNKS_PER_WRITE: usize = 16;
 
 /// Chunks to be written, in order, and the number of body bytes to report as released.
 #[derive(Default)]
 pub(super) struct WriteBuffer {
-    chunks: VecDeque<Bytes>,
+    chunks: ChunkQueue,
     /// Body bytes that the decider still counts as in memory.
     body_bytes: usize,
     latest_deadline: Option<Instant>,
@@ -60,9 +58,9 @@
     /// Adds a response with this head and body.
     pub(super) fn push(&mut self, head: Bytes, body: Bytes) {
         self.body_bytes += body.len();
-        let chunks = [head, body, Bytes::from_static(RESPONSE_END)];
-        self.chunks
-            .extend(chunks.into_iter().filter(|chunk| !chunk.is_empty()));
+        for chunk in [head, body, Bytes::from_static(RESPONSE_END)] {
+            self.chunks.push(chunk);
+        }
     }
 
     /// Counts the body of an answer to a cancelled request, which is discarded unwritten.
@@ -80,14 +78,9 @@
         &mut self,
         writer: &mut (impl AsyncWriteExt + Unpin),
     ) -> io::Result<()> {
-        let slices: Vec<IoSlice> = self
-            .chunks
-            .iter()
-            .take(MAX_CHUNKS_PER_WRITE)
-            .map(|chunk| IoSlice::new(chunk))
-            .collect();
+        let slices = self.chunks.slices();
         let written = RetryingStream::new(writer).write_vectored(&slices).await?;
-        self.advance(written);
+        self.chunks.advance(written);
         Ok(())
     }
 
@@ -96,17 +89,6 @@
         while !self.is_empty() && self.write(writer).await.is_ok() {}
     }
 
-    fn advance(&mut self, mut written: usize) {
-        while let Some(chunk) = self.chunks.front_mut().filter(|_| written > 0) {
-            let length = chunk.len().min(written);
-            chunk.advance(length);
-            written -= length;
-            if chunk.is_empty() {
-                self.chunks.pop_front();
-            }
-        }
-    }
-
     /// Whether everything has been written.
     pub(super) fn is_empty(&self) -> bool {
         self.chunks.is_empty()
--- a/crates/router/src/decider/attempt_results.rs
+++ b/crates/router/src/decider/attempt_results.rs
@@ -80,9 +80,9 @@
         let dispatcher = &mut self.dispatcher;
         if let Some(request) = dispatcher.requests.get(id) {
             let kb = request.arrival.kb;
-            dispatcher.memory.record_answer(kb, answer.body.len());
+            dispatcher.memory.record_answer(kb, answer.body_length);
         }
-        if !dispatcher.memory.admits_answer(answer.body.len()) {
+        if !dispatcher.memory.admits_answer(&answer) {
             dispatcher.reply(id, FinalAnswer::Failed);
             return;
         }
--- a/crates/router/src/decider/dispatcher.rs
+++ b/crates/router/src/decider/dispatcher.rs
@@ -6,6 +6,7 @@
 use super::subsystems::Gossip;
 use crate::clock::Clock;
 use crate::local_cache::LocalCache;
+use crate::memory::Reservation;
 use crate::messages::{
     AttemptEnded, AttemptId, AttemptRequest, ClientReply, FinalAnswer, ServerCommand,
 };
@@ -13,6 +14,7 @@
 use crate::server_protocol::Answer;
 use chalkhall::interface::{ActionSink, AttemptLimits, Fill, Id, LocalCopy, Outcome};
 use std::collections::{BTreeSet, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The result of a client's request.
@@ -155,6 +157,7 @@
         server: &Id,
         limits: AttemptLimits,
         fill: &Fill,
+        reservation: &Rc<Reservation>,
     ) -> Box<AttemptRequest> {
         Box::new(AttemptRequest {
             attempt: attempt.clone(),
@@ -165,6 +168,7 @@
             cancellation: request.cancellation.clone(),
             deadline: self.clock.instant(self.now + limits.duration),
             send_by: self.clock.instant(self.now + limits.send_within),
+            reservation: reservation.clone(),
         })
     }
 
@@ -193,7 +197,9 @@
             request: request.clone(),
             number: pending.attempts.len(),
         };
-        let attempt_request = self.attempt_request(&attempt_id, pending, server, limits, fill);
+        let reservation = self.memory.reserve(pending.arrival.kb);
+        let attempt_request =
+            self.attempt_request(&attempt_id, pending, server, limits, fill, &reservation);
         let work = pending.arrival.kb / self.client_kb_per_s;
         if let Some(gossip) = &mut self.gossip {
             gossip.exchange.record_sent(server, work);
@@ -215,7 +221,7 @@
             server: server.clone(),
             sent_at: self.now,
             is_open: true,
-            reservation: self.memory.reserve(pending.arrival.kb),
+            reservation,
         });
     }
 
--- a/crates/router/src/decider/memory_account.rs
+++ b/crates/router/src/decider/memory_account.rs
@@ -2,6 +2,7 @@
 //! rejected if it does not fit in.
 
 use crate::memory::{MemoryBudget, Reservation, release_freed_pages};
+use crate::server_protocol::Answer;
 use serde_json::{Value, json};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -135,11 +136,13 @@
         fits
     }
 
-    /// Whether the body of a received answer is within the limit. Memory was reserved for it if its
-    /// client stated its size. If not, the answer is counted as dropped. An answer without a body
-    /// takes nothing.
-    pub(super) fn admits_answer(&mut self, body_bytes: usize) -> bool {
-        let fits = body_bytes == 0 || self.present() + body_bytes <= self.limit;
+    /// Whether the body of a received answer is within the limit, and was admitted as it was
+    /// received. Memory was reserved for it if its client stated its size. If not, the answer is
+    /// counted as dropped. An answer without a body takes nothing.
+    pub(super) fn admits_answer(&mut self, answer: &Answer) -> bool {
+        let body_bytes = answer.body_length;
+        let is_within_limit = self.present() + body_bytes <= self.limit;
+        let fits = body_bytes == 0 || is_within_limit && !answer.is_body_discarded();
         self.dropped_answers += u64::from(!fits);
         fits
     }
--- a/crates/router/src/decider/servers/tests.rs
+++ b/crates/router/src/decider/servers/tests.rs
@@ -1,7 +1,7 @@
 //! Start and stop of server actors. Paused time makes the order of events deterministic.
 
 use super::*;
-use crate::messages::fixtures::attempt_id;
+use crate::messages::fixtures::{attempt_id, no_reservation};
 use crate::messages::{AttemptEnded, AttemptRequest, CancellationFlag, Message};
 use crate::server_pool::{ACTOR_IDLE_TIMEOUT, ConnectionSlots};
 use crate::server_protocol::ForwardedFields;
@@ -68,6 +68,7 @@
         cancellation,
         deadline: expires_at,
         send_by: expires_at,
+        reservation: no_reservation(),
     }))
 }
 
--- a/crates/router/src/decider/tests.rs
+++ b/crates/router/src/decider/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::discovery_events::{DiscoveredServer, DiscoveryEvent};
-use crate::messages::fixtures::attempt_id;
+use crate::messages::fixtures::{attempt_id, no_reservation};
 use crate::messages::{
     AttemptEnded, AttemptRequest, CancellationFlag, ClientReply, FinalAnswer, NewRequest,
     ServerCommand,
@@ -90,6 +90,7 @@
         cancellation: CancellationFlag::default(),
         deadline: expires_at,
         send_by: expires_at,
+        reservation: no_reservation(),
     }
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod boot_time;
 pub mod cell_routing;
+mod chunk_queue;
 mod client_connection;
 mod client_protocol;
 mod clock;
--- a/crates/router/src/local_cache.rs
+++ b/crates/router/src/local_cache.rs
@@ -237,6 +237,11 @@
             .get(arrival.class)
             .and_then(|named| named.class.fresh);
         let is_not_modified = client_etag.is_some_and(|tag| !tag.is_empty() && *tag == copy.etag);
+        let body = if is_not_modified {
+            Bytes::new()
+        } else {
+            copy.body.clone()
+        };
         let answer = Answer {
             id: Bytes::new(),
             outcome: Outcome::Served,
@@ -250,11 +255,8 @@
             load: Load::default(),
             etag: Some(copy.etag.clone()).filter(|tag| !tag.is_empty()),
             created_at_unix_ms: Some(copy.created_at_ms),
-            body: if is_not_modified {
-                Bytes::new()
-            } else {
-                copy.body.clone()
-            },
+            body_length: body.len(),
+            body,
         };
         AttemptResult {
             outcome: Outcome::Served,
@@ -280,7 +282,7 @@
         let Some(NamedClass { name, class }) = self.classes.get(arrival.class) else {
             return;
         };
-        // The received bytes share larger buffers, all of which they would keep in memory.
+        // Texts share the line of the answer, all of which they would keep in memory.
         let copied = |bytes: &[u8]| Bytes::copy_from_slice(bytes);
         let copy = Copy {
             object: copied(arrival.object.as_bytes()),
@@ -292,7 +294,7 @@
             kb: arrival.kb,
             is_multipart: class.in_parts,
             etag: answer.etag.as_deref().map(copied).unwrap_or_default(),
-            body: copied(&answer.body),
+            body: answer.body.clone(),
         };
         self.store.insert(
             self.clock.now(),
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -1,6 +1,7 @@
 //! Messages between the actors of a router, in a module of their own so that the actors do not
 //! depend on one another.
 
+use crate::memory::Reservation;
 use crate::operator_query::Query;
 use crate::server_protocol::{Answer, ForwardedFields};
 use bytes::Bytes;
@@ -176,6 +177,8 @@
     pub deadline: Instant,
     /// The attempt is not sent unless its first byte is sent before this time.
     pub send_by: Instant,
+    /// Memory that is reserved for the answer.
+    pub reservation: Rc<Reservation>,
 }
 
 /// The result of an attempt.
--- a/crates/router/src/messages/fixtures.rs
+++ b/crates/router/src/messages/fixtures.rs
@@ -1,9 +1,11 @@
 //! Builders of attempt messages for tests.
 
 use super::{AttemptId, AttemptRequest, CancellationFlag};
+use crate::memory::{MemoryBudget, Reservation};
 use crate::server_protocol::ForwardedFields;
 use bytes::Bytes;
 use chalkhall::interface::Fill;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -34,9 +36,15 @@
         cancellation: CancellationFlag::default(),
         deadline: now + timeout,
         send_by: now + send_within,
+        reservation: no_reservation(),
     })
 }
 
+/// The reservation of nothing, in a budget that is never exceeded.
+pub fn no_reservation() -> Rc<Reservation> {
+    MemoryBudget::new(u64::MAX).reserve(0)
+}
+
 fn no_fill() -> Fill {
     Fill {
         source: "s".into(),
--- a/crates/router/src/server_connection.rs
+++ b/crates/router/src/server_connection.rs
@@ -10,10 +10,8 @@
 
 use crate::io_errors::{ConnectFailure, MEMORY_RETRY_DELAY, StreamFailure, set_nodelay};
 use crate::messages::{ConnectionCommand, ConnectionEvent, ServerCommand};
-use crate::retrying_stream::RetryingStream;
 use crate::scheduling_delay;
 use attempts::Attempts;
-use bytes::BytesMut;
 use chalkhall::interface::{Id, Outcome};
 use connect::{connect_with_retry, outcome_of_connect_failure};
 use disconnect::DisconnectReason;
@@ -21,17 +19,11 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
-use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::tcp::WriteHalf;
 use tokio::sync::{OwnedSemaphorePermit, mpsc};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 
-/// The number of bytes by which the read buffer grows.
-const READ_BUFFER_BYTES: usize = 16 * 1024;
-/// The read buffer grows if it has less free space than this.
-const MIN_READ_BYTES: usize = 1024;
-
 /// The actor of one connection. It stops when the server's actor drops its mailbox, or when the
 /// connection ends.
 pub struct Connection {
@@ -151,7 +143,7 @@
                     Some(command) => attempts.handle(Instant::now(), command),
                     None => return Ok(()),
                 },
-                read = read(&mut reader, &mut inbound.buffer) => {
+                read = inbound.read(&mut reader) => {
                     if read.map_err(DisconnectReason::Read)? == 0 {
                         return Err(DisconnectReason::ClosedByServer);
                     }
@@ -178,7 +170,8 @@
         if !attempts.has_to_write() {
             return Ok(());
         }
-        let Err(error) = attempts.write_with(now, |bytes| writer.try_write(bytes)) else {
+        let Err(error) = attempts.write_with(now, |chunks| writer.try_write_vectored(chunks))
+        else {
             return Ok(());
         };
         match StreamFailure::from(&error) {
@@ -202,15 +195,6 @@
     }
 }
 
-/// Reads into the buffer, which is allocated only when there is data to read.
-async fn read(reader: &mut ReadHalf<'_>, buffer: &mut BytesMut) -> io::Result<usize> {
-    reader.readable().await?;
-    if buffer.capacity() - buffer.len() < MIN_READ_BYTES {
-        buffer.reserve(READ_BUFFER_BYTES);
-    }
-    RetryingStream::new(reader).read_buf(buffer).await
-}
-
 /// Sleeps until a time, or forever if there is none.
 pub async fn sleep_until_opt(time: Option<Instant>) {
     match time {
--- a/crates/router/src/server_connection/attempts.rs
+++ b/crates/router/src/server_connection/attempts.rs
@@ -4,14 +4,17 @@
 //! accepted by the socket. Then it is staged, and from its first written byte on it is in flight:
 //! only then may it have run. Each attempt ends in exactly one [`ConnectionAttemptEnded`].
 
+use crate::chunk_queue::ChunkQueue;
+use crate::memory::Reservation;
 use crate::messages::{
     AttemptEnded, AttemptId, AttemptRequest, ConnectionAttemptEnded, ConnectionCommand,
 };
 use crate::server_protocol::{Answer, encode_cancel, encode_request};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::Bytes;
 use chalkhall::interface::Outcome;
 use std::collections::{HashMap, VecDeque};
-use std::io;
+use std::io::{self, IoSlice};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -20,6 +23,8 @@
     attempt: AttemptId,
     deadline: Instant,
     sent_at: Instant,
+    /// Memory that is reserved for the answer.
+    reservation: Rc<Reservation>,
 }
 
 /// All attempts of a connection, and the bytes to be written for them.
@@ -31,7 +36,7 @@
     /// The attempts in flight, by the id of the request on the wire.
     in_flight: HashMap<Bytes, InFlightAttempt>,
     /// Encoded bytes that the socket has not accepted yet.
-    write_buffer: BytesMut,
+    write_buffer: ChunkQueue,
     cancel_lines: VecDeque<Bytes>,
     ended: VecDeque<ConnectionAttemptEnded>,
     last_received_at: Option<Instant>,
@@ -152,10 +157,7 @@
         if self.has_to_write() {
             return;
         }
-        self.write_buffer.clear();
-        while let Some(line) = self.cancel_lines.pop_front() {
-            self.write_buffer.extend_from_slice(&line);
-        }
+        self.write_buffer = self.cancel_lines.drain(..).collect();
         if self.write_buffer.is_empty() {
             self.staged = self.queued.pop_front();
         }
@@ -181,15 +183,15 @@
     pub(super) fn write_with(
         &mut self,
         now: Instant,
-        write: impl FnOnce(&[u8]) -> io::Result<usize>,
+        write: impl FnOnce(&[IoSlice<'_>]) -> io::Result<usize>,
     ) -> io::Result<()> {
         let Some(staged) = &self.staged else {
-            let written = write(&self.write_buffer)?;
+            let written = write(&self.write_buffer.slices())?;
             self.write_buffer.advance(written);
             return Ok(());
         };
         let encoded = encode_attempt(now, staged);
-        let written = write(&encoded)?;
+        let written = write(&encoded.slices())?;
         if written > 0 {
             self.write_buffer = encoded;
             self.write_buffer.advance(written);
@@ -207,6 +209,7 @@
             attempt: request.attempt,
             deadline: request.deadline,
             sent_at: now,
+            reservation: request.reservation,
         };
         self.in_flight.insert(request.forwarded.id, in_flight);
     }
@@ -226,6 +229,13 @@
         self.in_flight.contains_key(id)
     }
 
+    /// Whether there is memory for the body of an answer to this request. A body that nothing waits
+    /// for needs none.
+    pub(super) fn admits_body(&self, id: &Bytes, bytes: usize) -> bool {
+        let in_flight = self.in_flight.get(id);
+        in_flight.is_some_and(|in_flight| in_flight.reservation.exchange(bytes))
+    }
+
     /// Ends the attempt that an answer belongs to.
     pub(super) fn answered(&mut self, answer: Answer) {
         // The answer to a cancelled attempt may cross the cancellation; it is discarded.
@@ -256,7 +266,7 @@
     }
 }
 
-fn encode_attempt(now: Instant, request: &AttemptRequest) -> BytesMut {
+fn encode_attempt(now: Instant, request: &AttemptRequest) -> ChunkQueue {
     let remaining = request.deadline.saturating_duration_since(now);
     encode_request(
         &request.forwarded,
--- a/crates/router/src/server_connection/attempts/tests.rs
+++ b/crates/router/src/server_connection/attempts/tests.rs
@@ -9,10 +9,23 @@
     ConnectionCommand::Cancel(attempt_id(request, 0))
 }
 
+fn text(chunks: &ChunkQueue) -> String {
+    let slices = chunks.slices();
+    let bytes: Vec<u8> = slices
+        .iter()
+        .flat_map(|chunk| chunk.iter().copied())
+        .collect();
+    String::from_utf8(bytes).unwrap()
+}
+
 /// Lets the socket accept at most this many bytes, and returns them.
 fn write(attempts: &mut Attempts, max_bytes: usize) -> String {
     let mut accepted = String::new();
-    let into = |bytes: &[u8]| {
+    let into = |chunks: &[IoSlice<'_>]| {
+        let bytes: Vec<u8> = chunks
+            .iter()
+            .flat_map(|chunk| chunk.iter().copied())
+            .collect();
         let part = &bytes[..bytes.len().min(max_bytes)];
         accepted = String::from_utf8_lossy(part).into_owned();
         if part.is_empty() {
@@ -70,10 +83,11 @@
         ]
     );
     attempts.handle(Instant::now(), send(attempt_request("e", long, long)));
-    attempts.write_buffer.clear();
+    attempts.write_buffer = ChunkQueue::default();
     attempts.stage_next_write();
     assert_eq!(
-        attempts.write_buffer, "QUIT a\r\n",
+        text(&attempts.write_buffer),
+        "QUIT a\r\n",
         "cancellations are written before queued attempts"
     );
     attempts.disconnected(Outcome::NeverSent);
@@ -193,3 +207,19 @@
     attempts.stage_next_write();
     assert!(write(&mut attempts, 1000).contains(",limit=1 "));
 }
+
+#[test]
+fn the_body_of_an_answer_that_nothing_waits_for_is_not_admitted() {
+    let long = Duration::from_secs(60);
+    let mut attempts = Attempts::default();
+    attempts.handle(Instant::now(), send(attempt_request("a", long, long)));
+    attempts.stage_next_write();
+    assert!(
+        !attempts.admits_body(&Bytes::from("a"), 10),
+        "it was not sent yet"
+    );
+    write(&mut attempts, 1);
+    assert!(attempts.admits_body(&Bytes::from("a"), 10));
+    attempts.handle(Instant::now(), cancel("a"));
+    assert!(!attempts.admits_body(&Bytes::from("a"), 10));
+}
--- a/crates/router/src/server_connection/tests.rs
+++ b/crates/router/src/server_connection/tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 use crate::messages::ConnectionAttemptEnded;
 use crate::messages::fixtures::attempt_request;
+use tokio::io::AsyncReadExt;
 
 /// A server with a minimal receive buffer: each write and each read transfers only a part of a
 /// message.
--- a/crates/router/src/server_protocol.rs
+++ b/crates/router/src/server_protocol.rs
@@ -6,8 +6,10 @@
 
 mod keywords;
 
+use crate::chunk_queue::ChunkQueue;
 use crate::client_protocol::{fields, number};
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::buf::Limit;
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use chalkhall::interface::{Fill, Load, Outcome, Remark};
 use std::fmt::Write;
 use std::time::Duration;
@@ -37,7 +39,7 @@
     pub body: Bytes,
 }
 
-/// Encodes the line and the body of a request that is sent now to `server`.
+/// Encodes the line and the body of a request that is sent now to `server`. The body is not copied.
 ///
 /// `remaining` is the time until the attempt's deadline. It is rounded down, so that the server
 /// never assumes more time than the client has left. The minimum that can be stated is 1 ms; an
@@ -47,7 +49,7 @@
     server: &str,
     remaining: Duration,
     fill: &Fill,
-) -> BytesMut {
+) -> ChunkQueue {
     let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
     let mut line = format!(
         "{} {} {}={},{}={},{}={},{}={}",
@@ -70,10 +72,9 @@
         let _ = write!(line, ",{}={}", keywords::IDEMPOTENCY_KEY, text(key));
     }
     let _ = write!(line, " {}\r\n", forwarded.body.len());
-    let mut encoded = BytesMut::from(line.as_str());
-    encoded.extend_from_slice(&forwarded.body);
-    encoded.extend_from_slice(END_OF_LINE);
-    encoded
+    let body = forwarded.body.clone();
+    let chunks = [Bytes::from(line), body, Bytes::from_static(END_OF_LINE)];
+    chunks.into_iter().collect()
 }
 
 /// Encodes what the server does on a miss. Writing to a `String` cannot fail.
@@ -138,8 +139,17 @@
     pub etag: Option<Bytes>,
     /// When the origin created the copy, in Unix milliseconds.
     pub created_at_unix_ms: Option<u64>,
-    /// The body of the copy.
+    /// The body of the copy; empty if it was not admitted.
     pub body: Bytes,
+    /// The length of the body that the server sent.
+    pub body_length: usize,
+}
+
+impl Answer {
+    /// Whether the server sent a body that was not admitted.
+    pub fn is_body_discarded(&self) -> bool {
+        self.body.len() < self.body_length
+    }
 }
 
 /// The error if a server sent something that is not a valid answer.
@@ -171,7 +181,16 @@
 /// An answer whose line has been decoded, and whose body is incomplete.
 struct PartialAnswer {
     answer: Answer,
-    body_length: usize,
+    body: PartialBody,
+}
+
+/// The received part of a body and of the line end behind it.
+enum PartialBody {
+    /// The buffer has just the size that is needed: the answer may be kept for long.
+    Admitted(BytesMut),
+    /// The body was not admitted: the number of its bytes, and of the line end, that have not been
+    /// received yet.
+    Discarded { remaining: usize },
 }
 
 impl AnswerDecoder {
@@ -182,30 +201,109 @@
 
     /// Decodes the next complete answer in the buffer. Returns `None` if more bytes are needed.
     ///
+    /// `admits` is asked, with the id of the request and the length of the body, whether a body may
+    /// be kept, before memory is allocated for it. If not, its bytes are discarded as they come.
+    ///
     /// # Errors
     /// The data is not a valid answer. The stream cannot be used any more.
-    pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Answer>, ProtocolError> {
-        let partial = match self.partial.take() {
+    pub fn decode(
+        &mut self,
+        buffer: &mut BytesMut,
+        admits: &mut dyn FnMut(&Bytes, usize) -> bool,
+    ) -> Result<Option<Answer>, ProtocolError> {
+        let mut partial = match self.partial.take() {
             Some(partial) => partial,
             None => match take_line(buffer)? {
-                Some(line) => decode_line(&line)?,
+                Some(line) => decode_line(&line)?.into_partial(admits),
                 None => return Ok(None),
             },
         };
-        let body_length = partial.body_length;
-        let needed = body_length + END_OF_LINE.len();
-        if buffer.len() < needed {
-            buffer.reserve(needed - buffer.len());
+        if !partial.receive(buffer)? {
             self.partial = Some(partial);
             return Ok(None);
         }
-        if &buffer[body_length..needed] != END_OF_LINE {
-            return Err(ProtocolError::BodyEnd);
+        Ok(Some(partial.complete()))
+    }
+
+    /// How many more bytes of a body are needed, and the buffer that they are to be read into; none
+    /// if the next bytes belong elsewhere.
+    pub fn body_buffer(&mut self) -> Option<Limit<&mut BytesMut>> {
+        let partial = self.partial.as_mut()?;
+        let needed = partial.answer.body_length + END_OF_LINE.len();
+        match &mut partial.body {
+            PartialBody::Admitted(body) => {
+                let remaining = needed - body.len();
+                Some(body.limit(remaining))
+            }
+            PartialBody::Discarded { .. } => None,
         }
-        let mut answer = partial.answer;
-        answer.body = buffer.split_to(body_length).freeze();
-        buffer.advance(END_OF_LINE.len());
-        Ok(Some(answer))
+    }
+}
+
+impl Answer {
+    fn into_partial(self, admits: &mut dyn FnMut(&Bytes, usize) -> bool) -> PartialAnswer {
+        let needed = self.body_length + END_OF_LINE.len();
+        let body = if self.body_length == 0 || admits(&self.id, self.body_length) {
+            PartialBody::Admitted(BytesMut::with_capacity(needed))
+        } else {
+            PartialBody::Discarded { remaining: needed }
+        };
+        PartialAnswer { answer: self, body }
+    }
+}
+
+impl PartialAnswer {
+    /// Takes what belongs to this answer from the buffer. Returns whether it is complete.
+    fn receive(&mut self, buffer: &mut BytesMut) -> Result<bool, ProtocolError> {
+        let body_length = self.answer.body_length;
+        match &mut self.body {
+            PartialBody::Admitted(body) => {
+                let needed = body_length + END_OF_LINE.len();
+                let taken = buffer.len().min(needed - body.len());
+                body.extend_from_slice(&buffer[..taken]);
+                buffer.advance(taken);
+                check_line_end(body.get(body_length..).unwrap_or_default())?;
+                Ok(body.len() == needed)
+            }
+            PartialBody::Discarded { remaining } => {
+                let in_body = remaining.saturating_sub(END_OF_LINE.len());
+                let skipped = buffer.len().min(in_body);
+                buffer.advance(skipped);
+                *remaining -= skipped;
+                let received = END_OF_LINE.len().saturating_sub(*remaining);
+                let taken = buffer.len().min(*remaining);
+                if *remaining > END_OF_LINE.len() {
+                    return Ok(false);
+                }
+                check_line_end_from(received, &buffer[..taken])?;
+                buffer.advance(taken);
+                *remaining -= taken;
+                Ok(*remaining == 0)
+            }
+        }
+    }
+
+    fn complete(self) -> Answer {
+        let mut answer = self.answer;
+        if let PartialBody::Admitted(mut body) = self.body {
+            body.truncate(answer.body_length);
+            answer.body = body.freeze();
+        }
+        answer
+    }
+}
+
+/// Checks the received part of a line end.
+fn check_line_end(received: &[u8]) -> Result<(), ProtocolError> {
+    check_line_end_from(0, received)
+}
+
+/// Checks a part of a line end that follows its first `position` bytes.
+fn check_line_end_from(position: usize, received: &[u8]) -> Result<(), ProtocolError> {
+    if END_OF_LINE[position..].starts_with(received) {
+        Ok(())
+    } else {
+        Err(ProtocolError::BodyEnd)
     }
 }
 
@@ -222,12 +320,14 @@
             Ok(None)
         };
     };
-    let line = buffer.split_to(newline + 1).freeze();
-    let end = if line.ends_with(END_OF_LINE) { 2 } else { 1 };
-    Ok(Some(line.slice(..line.len() - end)))
+    let text = &buffer[..newline];
+    // Copied, as parts of the line would keep all of the buffer alive.
+    let line = Bytes::copy_from_slice(text.strip_suffix(b"\r").unwrap_or(text));
+    buffer.advance(newline + 1);
+    Ok(Some(line))
 }
 
-fn decode_line(line: &Bytes) -> Result<PartialAnswer, ProtocolError> {
+fn decode_line(line: &Bytes) -> Result<Answer, ProtocolError> {
     let mut line_words = line.split(|byte| *byte == b' ');
     let mut next_word = || line_words.next().map(|word| line.slice_ref(word));
     let (Some(id), Some(status), Some(field_list), Some(length), None) = (
@@ -254,14 +354,12 @@
         etag: None,
         created_at_unix_ms: None,
         body: Bytes::new(),
+        body_length,
     };
     for (name, value) in fields(&field_list) {
         decode_field(&mut answer, name, value);
     }
-    Ok(PartialAnswer {
-        answer,
-        body_length,
-    })
+    Ok(answer)
 }
 
 /// Decodes one field. Unknown fields are ignored.
--- a/crates/router/src/server_protocol/tests.rs
+++ b/crates/router/src/server_protocol/tests.rs
@@ -2,7 +2,7 @@
 
 fn all(decoder: &mut AnswerDecoder, buffer: &mut BytesMut) -> Result<Vec<Answer>, ProtocolError> {
     let mut answers = Vec::new();
-    while let Some(answer) = decoder.decode(buffer)? {
+    while let Some(answer) = decoder.decode(buffer, &mut |_, _| true)? {
         answers.push(answer);
     }
     Ok(answers)
@@ -39,6 +39,67 @@
     }
 }
 
+/// Guards against a router that is killed for its memory: whole bodies were received before anyone
+/// asked whether there was memory for them.
+#[test]
+fn a_body_that_is_not_admitted_takes_no_memory_at_any_split() {
+    let body = "x".repeat(10_000);
+    let stream = format!("a1 OK etag=4be0 10000\r\n{body}\r\nb2 OK - 3\r\nabc\r\n");
+    for at in [
+        0, 10, 22, 23, 24, 5000, 10_022, 10_023, 10_024, 10_025, 10_030,
+    ] {
+        let mut decoder = AnswerDecoder::default();
+        let mut asked = Vec::new();
+        let mut answers = Vec::new();
+        let mut buffer = BytesMut::new();
+        for part in [&stream[..at], &stream[at..]] {
+            buffer.extend_from_slice(part.as_bytes());
+            let admits = &mut |id: &Bytes, bytes| {
+                asked.push((id.clone(), bytes));
+                id != "a1"
+            };
+            while let Some(answer) = decoder.decode(&mut buffer, admits).unwrap() {
+                answers.push(answer);
+            }
+            assert!(
+                decoder.body_buffer().is_none() && buffer.len() < 32,
+                "split at {at}"
+            );
+        }
+        assert_eq!(
+            asked,
+            [("a1".into(), 10_000), ("b2".into(), 3)],
+            "split at {at}"
+        );
+        assert!(answers[0].is_body_discarded() && answers[0].body.is_empty());
+        assert_eq!(
+            (answers[0].etag.as_deref(), answers[1].body.as_ref()),
+            (Some(&b"4be0"[..]), &b"abc"[..])
+        );
+        assert!(!answers[1].is_body_discarded());
+    }
+}
+
+#[test]
+fn a_body_that_is_not_admitted_has_to_end_with_a_line_end() {
+    for stream in ["a OK - 3\r\nabcd\r", "a OK - 3\r\nabc\rx"] {
+        let mut buffer = BytesMut::from(stream);
+        let decoded = AnswerDecoder::default().decode(&mut buffer, &mut |_, _| false);
+        assert_eq!(decoded, Err(ProtocolError::BodyEnd), "{stream:?}");
+    }
+}
+
+#[test]
+fn the_rest_of_a_body_is_read_into_a_buffer_of_its_size() {
+    let mut decoder = AnswerDecoder::default();
+    let mut buffer = BytesMut::from("a OK - 50000\r\nxxx");
+    let decoded = decoder.decode(&mut buffer, &mut |_, _| true);
+    assert_eq!(decoded, Ok(None));
+    let rest = decoder.body_buffer().expect("a buffer");
+    assert_eq!(rest.remaining_mut(), 50_000 - 3 + 2);
+    assert_eq!(rest.get_ref().capacity(), 50_002);
+}
+
 #[test]
 fn malformed_answers_are_protocol_errors() {
     let malformed = [
@@ -61,6 +122,17 @@
     assert_eq!(decoded, Err(ProtocolError::LineTooLong));
 }
 
+fn encoded(forwarded: &ForwardedFields, server: &str, remaining: Duration, fill: &Fill) -> Bytes {
+    let chunks = encode_request(forwarded, server, remaining, fill);
+    let slices = chunks.slices();
+    Bytes::from(
+        slices
+            .iter()
+            .flat_map(|slice| slice.iter().copied())
+            .collect::<Vec<u8>>(),
+    )
+}
+
 #[test]
 fn requests_are_encoded_with_their_fill_fields() {
     let bytes = Bytes::from_static;
@@ -82,7 +154,7 @@
     };
     let limit = Duration::from_millis(1500);
     assert_eq!(
-        encode_request(&forwarded, "s1", limit, &fill),
+        encoded(&forwarded, "s1", limit, &fill),
         "ASK a1 cls=page,item=o1,chunk=3,limit=1500,src=p1,keep=2,maxage=1,\
          flags=collapse+only-if-cached+no-store-up+refresh 0\r\n\r\n"
     );
@@ -97,7 +169,7 @@
     };
     (forwarded.client_etag, forwarded.body) = (Some(bytes(b"4be0")), bytes(b"xy"));
     assert_eq!(
-        encode_request(&forwarded, "p1", limit, &fill),
+        encoded(&forwarded, "p1", limit, &fill),
         "ASK a1 cls=page,item=o1,chunk=3,limit=1500,have=4be0 2\r\nxy\r\n"
     );
     assert_eq!(encode_cancel(b"a1"), "QUIT a1\r\n");
--- a/crates/router/tests/program/memory.rs
+++ b/crates/router/tests/program/memory.rs
@@ -245,6 +245,33 @@
     }
 }
 
+/// Requests of unstated size, and how long a server takes to fill the first large object.
+const UNSIZED_REQUESTS: u64 = 600;
+const LARGE_FILL: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Answers each request at a server. The first large object on a connection takes a while, so that
+/// the answers of a burst come together.
+fn answer_large_reads_late(listener: TcpListener) {
+    listener.set_nonblocking(false).unwrap();
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            spawn(move || {
+                let mut connection = LineConnection::new(stream);
+                let mut has_waited = false;
+                while let Some(request) = connection.next_request() {
+                    let number = u64::from_str_radix(request.field("item"), 16).unwrap();
+                    let is_large = number >= SMALL_REQUESTS;
+                    if is_large && !std::mem::replace(&mut has_waited, true) {
+                        std::thread::sleep(LARGE_FILL);
+                    }
+                    let bytes = if is_large { LARGE_BODY_BYTES } else { 10 };
+                    connection.respond(&request, "OK", HIT_FIELDS, &body_of_length(bytes));
+                }
+            });
+        }
+    });
+}
+
 /// Sends a burst of requests for large objects to clients that do not read, and checks the peak of
 /// memory; then all answers, each of which is one of `allowed`. Returns how many were served.
 fn check_burst_of_large_answers(limit_mb: u64, stated_kb: f64, allowed: &[&str]) -> usize {
@@ -294,3 +321,37 @@
         assert!(served > 0, "nothing was served");
     }
 }
+
+/// Guards against a router that is killed for its memory: a burst of requests of unstated size was
+/// admitted by the size of earlier answers, and their bodies were received before anyone asked
+/// whether there was memory for them.
+#[test]
+fn a_burst_of_large_answers_of_unstated_size_stays_within_the_memory_limit() {
+    for limit_mb in [48, LEAST_MEMORY_MB] {
+        let environment = TestEnvironment::new()
+            .with_server("c2", "cache")
+            .with_server("c3", "cache")
+            .with_server("c4", "cache")
+            .with_directives("store {\n    memory 25%\n}\n")
+            .with_machine_limit("memory_mb", limit_mb);
+        let (environment, router, mut usual) = start_router_in(environment);
+        for server in &environment.servers {
+            answer_large_reads_late(server.listener.try_clone().unwrap());
+        }
+        warm_up(&mut usual);
+        let large = SMALL_REQUESTS..SMALL_REQUESTS + UNSIZED_REQUESTS;
+        let mut clients = send_burst(&router, large, |client, number| {
+            let fields = format!("i={},o={number:016x},lot=1,d=60000", new_id());
+            client.send_raw_request(number, "page", fields, b"");
+        });
+        let peak_kb = peak_memory_kb(&router, 3 * LARGE_FILL);
+        eprintln!("{limit_mb} MB, no size stated: {peak_kb} KB");
+        assert!(peak_kb < limit_mb * 1024, "{peak_kb} KB of {limit_mb} MB");
+        for index in 0..UNSIZED_REQUESTS {
+            let answer = clients[(index / OPEN_REQUESTS) as usize].read_answer();
+            assert!(["ACK", "NAK", "FAIL"].contains(&answer.word.as_str()));
+        }
+        usual.send_request(1, "page", "", b"");
+        assert_eq!(usual.read_answer_word(), "ACK");
+    }
+}
