Incomplete requests share an eighth of the memory, and keep no read buffers

Seen: operators report that hundreds of clients that write slowly, stop half way through a large request or send many short fields take a process over its memory.

Cause: memory for a body was allocated once its length was known, up to twice its size, by each connection alone; bodies on their way counted only when their requests were complete. An open request shared its read buffer, and kept 8 KB of it and up to 128 KB where 2 KB are counted.

Change: the decoder of frames waits for admission before it receives a part of over 4 KB. All such parts take an eighth of the memory by their announced lengths; a connection waits 50 ms for it, and parts that have stood still for 100 ms give way to others. What finds no memory is discarded as it comes, and its request is rejected when it is complete. Parts are copied out of the read buffer, and the buffer keeps what it has received. A request has at most 64 fields.

--- a/crates/router/src/client_connection.rs
+++ b/crates/router/src/client_connection.rs
@@ -13,6 +13,7 @@
 //! not read its responses in time.
 
 mod admission;
+mod body_memory;
 mod closing;
 mod read_buffer;
 mod requests;
@@ -21,20 +22,21 @@
 use crate::clock::Clock;
 use crate::io_errors::set_nodelay;
 use crate::lifecycle::Phase;
+use crate::memory::{BodyPermit, IncomingBodies};
 use crate::messages::{
     CancellationFlag, ClientReply, ConnectionSlot, Message, SlotStatus, SlotUpdate,
 };
 use crate::server_connection::sleep_until_opt;
+use body_memory::BodyWait;
 use chalkhall::interface::Id;
 use closing::{CloseReason, ProtocolViolation};
 use read_buffer::ReadBuffer;
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpStream, tcp::WriteHalf};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 use write_buffer::{CHUNKS_PER_RESPONSE, WriteBuffer};
 
@@ -71,8 +73,8 @@
     /// The retry delay sent with rejections.
     pub retry_after: Option<Duration>,
     pub clock: Clock,
-    /// Permits for the bytes of bodies that are on their way to the decider.
-    pub arriving_bodies: Arc<Semaphore>,
+    /// The memory for bodies that are on their way to the decider.
+    pub incoming_bodies: Rc<IncomingBodies>,
 }
 
 /// An accepted connection with its channels to the rest of the router.
@@ -116,6 +118,10 @@
         result: io::Result<usize>,
         unread_for: Duration,
     },
+    /// Memory for a body is available. None: there was none for too long.
+    BodyMemory(Option<BodyPermit>),
+    /// Another connection waits for memory for a body.
+    MemoryShortage,
     EvictionRequested,
     TimedOut,
 }
@@ -133,6 +139,10 @@
     /// The open requests, by tag.
     open_requests: HashMap<u64, OpenRequest>,
     write_buffer: WriteBuffer,
+    /// The memory of the body that is being received.
+    body_permit: Option<BodyPermit>,
+    /// The wait for the memory of the next body, during which nothing is read.
+    body_wait: Option<BodyWait>,
     reply_sender: mpsc::Sender<ClientReply>,
     replies: mpsc::Receiver<ClientReply>,
     /// When a message was last received, bytes were written or a reply was added to an empty write
@@ -151,6 +161,8 @@
             state: State::Serving,
             open_requests: HashMap::new(),
             write_buffer: WriteBuffer::default(),
+            body_permit: None,
+            body_wait: None,
             reply_sender,
             replies,
             last_progress: Instant::now(),
@@ -213,8 +225,16 @@
         let is_idle = self.is_idle(read_buffer);
         let has_ended = matches!(self.state, State::RouterEnded { .. });
         let may_write = !self.write_buffer.is_empty();
-        let may_read = !has_ended && self.write_buffer.len() < READ_PAUSE_THRESHOLD_CHUNKS;
-        let ClientConnection { phase, slot, .. } = &mut self.connection;
+        let may_read = !has_ended
+            && self.body_wait.is_none()
+            && self.write_buffer.len() < READ_PAUSE_THRESHOLD_CHUNKS;
+        let may_give_way = may_read && read_buffer.decoder.has_admitted_part();
+        let ClientConnection {
+            phase,
+            slot,
+            frontend,
+            ..
+        } = &mut self.connection;
         if may_read {
             read_buffer.wait.begin();
         }
@@ -228,6 +248,10 @@
             result = read_buffer.read(), if may_read => {
                 Event::Read { result, unread_for: Duration::ZERO }
             }
+            permit = body_memory::granted(&mut self.body_wait), if !has_ended => {
+                Event::BodyMemory(permit)
+            }
+            () = frontend.incoming_bodies.shortage(), if may_give_way => Event::MemoryShortage,
             // Below the read, so that a request that has just arrived is answered first.
             Some(()) = slot.eviction_requests.recv(), if is_idle => Event::EvictionRequested,
             () = sleep_until_opt(deadline) => Event::TimedOut,
@@ -268,6 +292,8 @@
                 }
                 self.handle_messages(read_buffer, unread_for).await?;
             }
+            Event::BodyMemory(permit) => self.end_body_wait(read_buffer, permit).await?,
+            Event::MemoryShortage => self.give_way(read_buffer),
             Event::EvictionRequested => self.state = State::Evicting,
             Event::TimedOut => self.handle_timeout(read_buffer).await?,
         }
@@ -281,7 +307,16 @@
         unread_for: Duration,
     ) -> Result<(), CloseReason> {
         let now = self.connection.frontend.clock.now();
-        let received_after = now.saturating_sub(unread_for);
+        self.handle_messages_since(read_buffer, now.saturating_sub(unread_for))
+            .await
+    }
+
+    /// Handles all complete messages, which arrived no earlier than `received_after`.
+    async fn handle_messages_since(
+        &mut self,
+        read_buffer: &mut ReadBuffer<'_>,
+        received_after: Duration,
+    ) -> Result<(), CloseReason> {
         while let Some(frame) = read_buffer.next_frame()? {
             self.last_progress = Instant::now();
             self.has_received_message = true;
@@ -291,6 +326,7 @@
             }
         }
         read_buffer.update_incomplete_since();
+        self.begin_body_wait(read_buffer, received_after);
         Ok(())
     }
 
--- a/crates/router/src/client_connection/admission.rs
+++ b/crates/router/src/client_connection/admission.rs
@@ -6,10 +6,11 @@
 use super::requests::{ClientMessage, Command, ParsedRequest, RequestError};
 use super::{MAX_OPEN_REQUESTS, OpenRequest, REJECT_THRESHOLD_CHUNKS, Session};
 use crate::client_protocol::ResponseStatus;
+use crate::memory::BodyPermit;
 use crate::messages::{CancellationFlag, ClientReply, Message, NewRequest};
 use std::collections::HashSet;
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, mpsc};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, timeout_at};
 
 impl Session {
@@ -34,19 +35,25 @@
         Ok(())
     }
 
-    /// Admits a request, rejects it because of unwritten responses, or fails it if it is invalid.
+    /// Admits a request, rejects it for lack of memory or because of unwritten responses, or fails
+    /// it if it is invalid.
     async fn handle_request(
         &mut self,
         tag: u64,
         message: ClientMessage,
         received_after: Duration,
     ) -> Result<(), CloseReason> {
+        let is_body_discarded = message.is_body_discarded;
+        let body_permit = self.body_permit.take();
         match self.validate_request(message) {
-            Ok(_) if self.write_buffer.len() >= REJECT_THRESHOLD_CHUNKS => {
+            Ok(_) if is_body_discarded || self.write_buffer.len() >= REJECT_THRESHOLD_CHUNKS => {
                 self.reject(tag);
                 Ok(())
             }
-            Ok(request) => self.admit_request(tag, request, received_after).await,
+            Ok(request) => {
+                self.admit_request(tag, request, body_permit, received_after)
+                    .await
+            }
             Err(error) => {
                 log::debug!(tag = tag, reason:% = error; "invalid request");
                 self.fail(tag);
@@ -69,6 +76,7 @@
         &mut self,
         tag: u64,
         request: ParsedRequest,
+        body_permit: Option<BodyPermit>,
         received_after: Duration,
     ) -> Result<(), CloseReason> {
         let ParsedRequest { arrival, forwarded } = request;
@@ -76,7 +84,6 @@
         let deadline = self.connection.frontend.clock.instant(deadline);
         self.write_buffer.extend_deadline(deadline);
         let reply_permit = self.reserve_reply().await?;
-        let body_permit = self.count_body(forwarded.body.len()).await;
         let cancellation = CancellationFlag::default();
         let open = OpenRequest {
             id: arrival.id.clone(),
@@ -100,14 +107,6 @@
         Ok(())
     }
 
-    /// Counts a body that is sent to the decider. Waits while others on their way there take all of
-    /// the memory for them.
-    async fn count_body(&self, bytes: usize) -> Option<OwnedSemaphorePermit> {
-        let permits = self.connection.frontend.arriving_bodies.clone();
-        let bytes = u32::try_from(bytes).ok().filter(|bytes| *bytes > 0)?;
-        permits.acquire_many_owned(bytes).await.ok()
-    }
-
     /// Reserves capacity for a reply. The channel holds more replies than there may be open
     /// requests; the decider frees the capacity of a cancelled request once it has handled the
     /// cancellation.
@@ -168,7 +167,7 @@
             Ok(Ok(bytes)) if bytes > 0 => {}
             _ => return Err(CloseReason::RouterEnded),
         }
-        while let Some(frame) = read_buffer.next_frame()? {
+        while let Some(frame) = read_buffer.next_short_frame()? {
             self.answer_unhandled(&frame.into());
         }
         Ok(())
@@ -178,7 +177,7 @@
     /// Each tag gets one response; open requests get theirs when the connection is closed.
     pub(super) fn reject_remaining(&mut self, read_buffer: &mut ReadBuffer<'_>) {
         let mut answered: HashSet<u64> = self.open_requests.keys().copied().collect();
-        while let Ok(Some(frame)) = read_buffer.next_frame() {
+        while let Ok(Some(frame)) = read_buffer.next_short_frame() {
             let message = ClientMessage::from(frame);
             if message.tag.is_some_and(|tag| answered.insert(tag)) {
                 self.answer_unhandled(&message);
--- a/crates/router/src/client_connection/read_buffer.rs
+++ b/crates/router/src/client_connection/read_buffer.rs
@@ -1,9 +1,9 @@
 //! The reading side of a client connection: decodes frames from the received bytes.
 
-use crate::client_protocol::{FrameDecoder, FrameError};
+use crate::client_protocol::{Frame, FrameDecoder, FrameError};
 use crate::read_wait::ReadWait;
 use crate::retrying_stream::RetryingStream;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use std::io;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -22,10 +22,12 @@
 pub(super) struct ReadBuffer<'a> {
     reader: ReadHalf<'a>,
     bytes: BytesMut,
-    decoder: FrameDecoder,
+    pub(super) decoder: FrameDecoder,
     pub(super) wait: ReadWait,
     /// Since when the buffer has held an incomplete message.
     pub(super) incomplete_since: Option<Instant>,
+    /// When bytes were last read.
+    pub(super) last_read_at: Instant,
 }
 
 impl<'a> ReadBuffer<'a> {
@@ -36,6 +38,7 @@
             decoder: FrameDecoder::default(),
             wait: ReadWait::new(),
             incomplete_since: None,
+            last_read_at: Instant::now(),
         }
     }
 
@@ -49,6 +52,12 @@
     /// If the connection is broken.
     pub(super) async fn read(&mut self) -> io::Result<usize> {
         self.reader.readable().await?;
+        self.last_read_at = Instant::now();
+        if let Some(mut part) = self.decoder.part_buffer() {
+            return RetryingStream::new(&mut self.reader)
+                .read_buf(&mut part)
+                .await;
+        }
         if self.bytes.capacity() - self.bytes.len() < MIN_FREE_BYTES {
             self.bytes.reserve(READ_CHUNK_BYTES);
         }
@@ -61,7 +70,7 @@
     ///
     /// # Errors
     /// If the stream violates the protocol.
-    pub(super) fn next_frame(&mut self) -> Result<Option<Vec<Bytes>>, FrameError> {
+    pub(super) fn next_frame(&mut self) -> Result<Option<Frame>, FrameError> {
         let frame = self.decoder.next(&mut self.bytes)?;
         if frame.is_some() {
             self.incomplete_since = None;
@@ -69,15 +78,29 @@
         Ok(frame)
     }
 
-    /// Updates `incomplete_since` after all complete frames have been taken. An empty buffer is
-    /// freed: it is unknown when more data will arrive.
+    /// Takes the next complete frame from the buffer, without its long parts.
+    ///
+    /// # Errors
+    /// If the stream violates the protocol.
+    pub(super) fn next_short_frame(&mut self) -> Result<Option<Frame>, FrameError> {
+        self.decoder.discard_part();
+        let frame = self.next_frame()?;
+        if frame.is_none() && self.decoder.awaits_admission().is_some() {
+            self.decoder.discard_part();
+            return self.next_frame();
+        }
+        Ok(frame)
+    }
+
+    /// Updates `incomplete_since` after all complete frames have been taken. The buffer keeps what
+    /// it has received and no more: it is unknown when more data will arrive.
     pub(super) fn update_incomplete_since(&mut self) {
         if self.decoder.is_inside_frame() || !self.bytes.is_empty() {
             self.incomplete_since.get_or_insert_with(Instant::now);
         } else {
             self.incomplete_since = None;
-            self.bytes = BytesMut::new();
         }
+        self.bytes = BytesMut::from(&self.bytes[..]);
     }
 
     /// Whether unread data arrives within `READABILITY_CHECK_TIMEOUT`.
--- a/crates/router/src/client_connection/requests.rs
+++ b/crates/router/src/client_connection/requests.rs
@@ -1,7 +1,7 @@
 //! Parses client messages: the command, and the fields of a request.
 
 use super::ClientFrontend;
-use crate::client_protocol::{fields, number};
+use crate::client_protocol::{Frame, fields, number};
 use crate::server_protocol::ForwardedFields;
 use bytes::Bytes;
 use chalkhall::interface::{Id, IncomingRequest};
@@ -16,6 +16,8 @@
 /// The largest size that a request may announce if no client transfer rate is configured.
 const DEFAULT_MAX_KB: f64 = 1e9;
 const ID_DIGITS: usize = 16;
+/// The maximum number of fields of a request, several times what the protocol names.
+const MAX_FIELDS: usize = 64;
 /// Initial capacity for the field names of a request.
 const TYPICAL_FIELD_COUNT: usize = 8;
 
@@ -37,11 +39,14 @@
     class: Bytes,
     fields: Bytes,
     body: Bytes,
+    /// There was no memory for the body.
+    pub(super) is_body_discarded: bool,
 }
 
-impl From<Vec<Bytes>> for ClientMessage {
-    fn from(frame: Vec<Bytes>) -> ClientMessage {
-        let mut parts = frame.into_iter();
+impl From<Frame> for ClientMessage {
+    fn from(frame: Frame) -> ClientMessage {
+        let is_body_discarded = frame.is_part_discarded;
+        let mut parts = frame.parts.into_iter();
         let mut next = || parts.next().unwrap_or_default();
         let command = match &next()[..] {
             b"REQ" => Command::Request,
@@ -55,6 +60,7 @@
             class: next(),
             fields: next(),
             body: next(),
+            is_body_discarded,
         }
     }
 }
@@ -68,6 +74,8 @@
     UnknownTenant,
     #[error("duplicate field")]
     DuplicateField,
+    #[error("more than {MAX_FIELDS} fields")]
+    TooManyFields,
     #[error("field is not a number")]
     InvalidNumber,
     #[error("group is above {MAX_GROUP}")]
@@ -113,6 +121,9 @@
         };
         let mut names = Vec::with_capacity(TYPICAL_FIELD_COUNT);
         for (name, value) in fields(&message.fields) {
+            if names.len() == MAX_FIELDS {
+                return Err(RequestError::TooManyFields);
+            }
             if names.contains(&name) {
                 return Err(RequestError::DuplicateField);
             }
--- a/crates/router/src/client_connection/test_support.rs
+++ b/crates/router/src/client_connection/test_support.rs
@@ -4,15 +4,15 @@
 use super::{ClientConnection, ClientFrontend};
 use crate::clock::Clock;
 use crate::lifecycle::Phase;
+use crate::memory::{IncomingBodies, MemoryBudget};
 use crate::messages::{ClientReply, ConnectionSlot, FinalAnswer, Message, NewRequest, SlotUpdate};
 use bytes::{Buf, Bytes, BytesMut};
 use std::ops::RangeInclusive;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, yield_now};
 
 /// A frontend with a single class, `page`, without tenants and without a transfer rate.
@@ -23,7 +23,7 @@
         max_kb_per_s: 0.0,
         retry_after,
         clock: Clock::start(),
-        arriving_bodies: Arc::new(Semaphore::new(Semaphore::MAX_PERMITS)),
+        incoming_bodies: IncomingBodies::new(u64::MAX, MemoryBudget::new(u64::MAX)),
     })
 }
 
--- a/crates/router/src/client_protocol.rs
+++ b/crates/router/src/client_protocol.rs
@@ -1,19 +1,15 @@
 //! The client protocol: decodes RESP arrays of bulk strings and encodes responses. Does no I/O.
 
-use bytes::{Buf, Bytes, BytesMut};
+mod frames;
+
+pub use frames::{Frame, FrameDecoder};
+
+use bytes::Bytes;
 use std::fmt::Write;
 
-/// Maximum length of each part of an array: command, tag, class, fields and body. The body of a
-/// write has up to 48,000 bytes. Longer parts are rejected before memory is allocated for them.
-const MAX_PART_BYTES: [usize; 5] = [16, 20, 64, 1_024, 64_000];
-/// Maximum digits of a length, which may have leading zeros.
-const MAX_LENGTH_DIGITS: usize = 12;
 /// Every number of this many digits fits into 64 bits.
 const MAX_NUMBER_DIGITS: usize = 18;
 const LINE_END: &[u8] = b"\r\n";
-/// Parts of this length are copied out of the read buffer. Shared, they would keep all of it alive
-/// for as long as their request is open, up to twice their size.
-const MIN_COPIED_BYTES: usize = 4096;
 
 /// Terminates a response, after its body.
 pub const RESPONSE_END: &[u8] = LINE_END;
@@ -42,120 +38,6 @@
     InvalidLength,
 }
 
-/// Decodes frames from a stream that may be split anywhere.
-///
-/// The decoded parts of an incomplete frame are kept, so that a long frame is not parsed again
-/// after every read.
-#[derive(Default)]
-pub struct FrameDecoder {
-    parts: Vec<Bytes>,
-    /// Number of parts of the current array, once its header has been decoded.
-    expected_parts: Option<usize>,
-    /// Length of the current part, once its header has been decoded.
-    part_length: Option<usize>,
-}
-
-impl FrameDecoder {
-    /// Whether the current frame is incomplete.
-    pub fn is_inside_frame(&self) -> bool {
-        self.expected_parts.is_some()
-    }
-
-    /// Takes the next complete frame, or none if more bytes are needed. The parts are the unchanged
-    /// bytes.
-    ///
-    /// # Errors
-    /// If the stream violates the protocol. Nothing after that can be decoded.
-    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, FrameError> {
-        let Some(expected_parts) = self.array_header(buffer)? else {
-            return Ok(None);
-        };
-        while self.parts.len() < expected_parts {
-            let Some(length) = self.part_header(buffer)? else {
-                return Ok(None);
-            };
-            let Some(part) = take_part(buffer, length)? else {
-                return Ok(None);
-            };
-            self.parts.push(part);
-            self.part_length = None;
-        }
-        self.expected_parts = None;
-        Ok(Some(std::mem::take(&mut self.parts)))
-    }
-
-    fn array_header(&mut self, buffer: &mut BytesMut) -> Result<Option<usize>, FrameError> {
-        if self.expected_parts.is_none() {
-            self.expected_parts = match take_length(buffer, b'*')? {
-                Some(0) => return Err(FrameError::EmptyArray),
-                Some(parts) if parts > MAX_PART_BYTES.len() => {
-                    return Err(FrameError::TooManyParts(parts));
-                }
-                parts => parts,
-            };
-        }
-        Ok(self.expected_parts)
-    }
-
-    fn part_header(&mut self, buffer: &mut BytesMut) -> Result<Option<usize>, FrameError> {
-        if self.part_length.is_none() {
-            let index = self.parts.len();
-            self.part_length = match take_length(buffer, b'$')? {
-                Some(length) if length > MAX_PART_BYTES[index] => {
-                    return Err(FrameError::PartTooLong { index, length });
-                }
-                length => length,
-            };
-        }
-        Ok(self.part_length)
-    }
-}
-
-/// Takes a part of this length and its line end.
-fn take_part(buffer: &mut BytesMut, length: usize) -> Result<Option<Bytes>, FrameError> {
-    let complete = length + LINE_END.len();
-    if buffer.len() < complete {
-        buffer.reserve(complete - buffer.len());
-        return Ok(None);
-    }
-    if &buffer[length..complete] != LINE_END {
-        return Err(FrameError::UnterminatedPart);
-    }
-    let part = if length >= MIN_COPIED_BYTES {
-        let part = Bytes::copy_from_slice(&buffer[..length]);
-        buffer.advance(length);
-        part
-    } else {
-        buffer.split_to(length).freeze()
-    };
-    buffer.advance(LINE_END.len());
-    Ok(Some(part))
-}
-
-/// Takes a length with its type byte: `*3` or `$12`.
-fn take_length(buffer: &mut BytesMut, type_byte: u8) -> Result<Option<usize>, FrameError> {
-    let longest_line = 1 + MAX_LENGTH_DIGITS + LINE_END.len();
-    let line_feed = buffer
-        .iter()
-        .take(longest_line)
-        .position(|byte| *byte == b'\n');
-    let Some(line_feed) = line_feed else {
-        let is_other_type = buffer.first().is_some_and(|byte| *byte != type_byte);
-        return if is_other_type || buffer.len() >= longest_line {
-            Err(FrameError::InvalidLength)
-        } else {
-            Ok(None)
-        };
-    };
-    let line = buffer.split_to(line_feed + 1);
-    let length = line
-        .strip_prefix(&[type_byte])
-        .and_then(|rest| rest.strip_suffix(LINE_END))
-        .and_then(number)
-        .ok_or(FrameError::InvalidLength)?;
-    Ok(Some(length as usize))
-}
-
 /// Parses an unsigned decimal number of at most 18 digits.
 pub fn number(digits: &[u8]) -> Option<u64> {
     let is_valid = !digits.is_empty()
--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -31,6 +31,7 @@
 use crate::configuration::Limits;
 use crate::lifecycle::Phase;
 use crate::local_cache::LocalCache;
+use crate::memory::IncomingBodies;
 use crate::messages::Message;
 use crate::rate_limited_log::RateLimitedLog;
 use crate::server_pool::{ConnectionSlots, ServerActorFactory};
@@ -43,9 +44,8 @@
 use servers::ServerHandles;
 use std::collections::{BTreeSet, VecDeque};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::{Semaphore, mpsc, watch};
+use tokio::sync::{mpsc, watch};
 
 const MAX_CONNECTIONS_PER_SERVER: usize = 8;
 /// Descriptors reserved for everything but open client and server connections: client connections
@@ -145,9 +145,9 @@
         self.router.retry_after
     }
 
-    /// Permits for the bytes of bodies that client connections send to the decider.
-    pub fn arriving_bodies(&self) -> Arc<Semaphore> {
-        self.dispatcher.memory.arriving_bodies()
+    /// The memory for bodies that client connections receive.
+    pub fn incoming_bodies(&self) -> Rc<IncomingBodies> {
+        self.dispatcher.memory.incoming_bodies()
     }
 }
 
--- a/crates/router/src/decider/memory_account.rs
+++ b/crates/router/src/decider/memory_account.rs
@@ -1,12 +1,10 @@
 //! The memory that the router holds for clients and servers, in one account: a new request is
 //! rejected if it does not fit in.
 
-use crate::memory::{MemoryBudget, Reservation, release_freed_pages};
+use crate::memory::{IncomingBodies, MemoryBudget, Reservation, release_freed_pages};
 use crate::server_protocol::Answer;
 use serde_json::{Value, json};
 use std::rc::Rc;
-use std::sync::Arc;
-use tokio::sync::Semaphore;
 
 /// The largest body that the protocol allows.
 const MAX_BODY_BYTES: f64 = 240_000.0;
@@ -21,11 +19,6 @@
 /// Freed pages are returned to the system once they are this part of the process' memory.
 const FREED_PAGES_DIVISOR: u64 = 16;
 
-/// The part of the process' memory for bodies on their way from client connections to the decider.
-const ARRIVING_DIVISOR: u64 = 16;
-/// At least a few of the largest requests can be on their way.
-const MIN_ARRIVING_BYTES: u64 = 256 * 1024;
-
 /// The expected size of answers, learned from those received.
 #[derive(Debug)]
 struct ExpectedBody {
@@ -70,10 +63,8 @@
     /// Bodies of answers that have not been written to clients yet.
     unwritten_answers: usize,
     expected_body: ExpectedBody,
-    /// Permits for the bytes of bodies that are on their way to the decider. While there are none,
-    /// client connections read no further.
-    arriving_bodies: Arc<Semaphore>,
-    max_arriving_bytes: usize,
+    /// Bodies that are on their way to the decider.
+    incoming_bodies: Rc<IncomingBodies>,
     /// Requests that did not fit in.
     rejected: u64,
     /// Answers that did not fit in.
@@ -84,12 +75,10 @@
     /// Creates an empty account. Half of the process' memory is for what it holds; the rest is for
     /// the program, buffers of connections and fragmentation.
     pub(super) fn new(process_memory: u64) -> MemoryAccount {
-        let max_arriving_bytes = (process_memory / ARRIVING_DIVISOR).max(MIN_ARRIVING_BYTES);
-        let max_arriving_bytes = (max_arriving_bytes as usize).min(Semaphore::MAX_PERMITS);
+        let budget = MemoryBudget::new(process_memory);
         MemoryAccount {
-            arriving_bodies: Arc::new(Semaphore::new(max_arriving_bytes)),
-            max_arriving_bytes,
-            budget: MemoryBudget::new(process_memory),
+            incoming_bodies: IncomingBodies::new(process_memory, budget.clone()),
+            budget,
             limit: (process_memory / 2) as usize,
             max_freed_bytes: (process_memory / FREED_PAGES_DIVISOR) as usize,
             open_requests: 0,
@@ -147,9 +136,9 @@
         fits
     }
 
-    /// The permits for the bytes of bodies that client connections send to the decider.
-    pub(super) fn arriving_bodies(&self) -> Arc<Semaphore> {
-        self.arriving_bodies.clone()
+    /// The memory for bodies that client connections receive and send to the decider.
+    pub(super) fn incoming_bodies(&self) -> Rc<IncomingBodies> {
+        self.incoming_bodies.clone()
     }
 
     /// Adds an open request with the bytes of its body.
@@ -208,7 +197,7 @@
             "allocated": allocated,
             "max_allocated": self.budget.limit(),
             "uncounted": allocated.saturating_sub(counted),
-            "arriving_bodies": self.max_arriving_bytes - self.arriving_bodies.available_permits(),
+            "arriving_bodies": self.incoming_bodies.bytes(),
             "held": self.held(),
             "open_requests": self.open_requests * REQUEST_BYTES,
             "request_bodies": self.request_bodies,
--- a/crates/router/src/memory.rs
+++ b/crates/router/src/memory.rs
@@ -2,6 +2,8 @@
 
 mod allocator;
 mod budget;
+mod incoming;
 
 pub use allocator::{CountingAllocator, configure_heap, release_freed_pages};
 pub use budget::{MemoryBudget, Reservation};
+pub use incoming::{BodyPermit, IncomingBodies};
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between the actors of a router, in a module of their own so that the actors do not
 //! depend on one another.
 
-use crate::memory::Reservation;
+use crate::memory::{BodyPermit, Reservation};
 use crate::operator_query::Query;
 use crate::server_protocol::{Answer, ForwardedFields};
 use bytes::Bytes;
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::{OwnedSemaphorePermit, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
 /// A message to the decider.
@@ -49,8 +49,8 @@
     pub tag: u64,
     /// Reserved capacity for the final answer, so that sending it cannot fail.
     pub reply_permit: mpsc::OwnedPermit<ClientReply>,
-    /// Counts its body until the decider has admitted or refused it.
-    pub _body_permit: Option<OwnedSemaphorePermit>,
+    /// Counts a long body until the decider has admitted or refused the request.
+    pub _body_permit: Option<BodyPermit>,
     /// Ended by the client connection or by the decider.
     pub cancellation: CancellationFlag,
 }
--- a/crates/router/src/startup.rs
+++ b/crates/router/src/startup.rs
@@ -295,7 +295,7 @@
         max_kb_per_s: configuration.deployment.client_kb_per_s,
         retry_after: decisions.retry_after(),
         clock,
-        arriving_bodies: decisions.arriving_bodies(),
+        incoming_bodies: decisions.incoming_bodies(),
     })
 }
 
--- a/crates/router/tests/program/main.rs
+++ b/crates/router/tests/program/main.rs
@@ -12,6 +12,7 @@
 mod discovery;
 mod fleet;
 mod forwarding;
+mod incomplete_requests;
 mod local_cache;
 mod local_failures;
 mod memory;
--- a/crates/router/tests/program/memory.rs
+++ b/crates/router/tests/program/memory.rs
@@ -72,22 +72,6 @@
 const FIRST_OBJECTS_ROUNDS: u64 = 100;
 const NEW_OBJECTS_ROUNDS: u64 = 1400;
 
-/// Answers each request at a server with a small body.
-fn answer_with_small_bodies(listener: TcpListener) {
-    listener.set_nonblocking(false).unwrap();
-    spawn(move || {
-        for stream in listener.incoming().flatten() {
-            stream.set_nodelay(true).unwrap();
-            spawn(move || {
-                let mut connection = LineConnection::new(stream);
-                while let Some(request) = connection.next_request() {
-                    connection.respond(&request, "OK", HIT_FIELDS, b"small");
-                }
-            });
-        }
-    });
-}
-
 /// Requests ever new objects, as many at a time as a connection may carry.
 fn request_new_objects(client: &mut TestClient, rounds: u64, next_tag: &mut u64) {
     for _ in 0..rounds {
@@ -110,7 +94,7 @@
     let environment = TestEnvironment::new().with_machine_limit("memory_mb", LEAST_MEMORY_MB);
     let (environment, router, mut client) = start_router_in(environment);
     for server in &environment.servers {
-        answer_with_small_bodies(server.listener.try_clone().unwrap());
+        answer_each_request(server.listener.try_clone().unwrap());
     }
     let mut next_tag = 10_000;
     warm_up(&mut client);
--- a/crates/router/tests/program/support/fake_server.rs
+++ b/crates/router/tests/program/support/fake_server.rs
@@ -7,6 +7,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread::spawn;
 
 /// Fields of a cache hit response.
 pub const HIT_FIELDS: &str = "tell=hit,etag=4be0c1927d55a6f3,made=1";
@@ -224,3 +225,19 @@
 pub fn body_of_length(length: usize) -> Vec<u8> {
     (0..length).map(|n| (n * 31 % 251) as u8).collect()
 }
+
+/// Answers each request at a server with a small body.
+pub fn answer_each_request(listener: TcpListener) {
+    listener.set_nonblocking(false).unwrap();
+    spawn(move || {
+        for stream in listener.incoming().flatten() {
+            stream.set_nodelay(true).unwrap();
+            spawn(move || {
+                let mut connection = LineConnection::new(stream);
+                while let Some(request) = connection.next_request() {
+                    connection.respond(&request, "OK", HIT_FIELDS, b"small");
+                }
+            });
+        }
+    });
+}
