Attempts that wait for a server's process end unsent when the server is replaced

Seen: operators report that a new process at the address of one that had gone was taken for the old one, so that work went to the wrong place or ran twice. Reproduced against a router process: a request waits for a connection to a server, which leaves while another server comes up at its address; the request stayed with the address for the whole grace.

Cause: when a server leaves, moves or starts again, its connections got no new attempts, but kept those that waited on them, and wrote them as the connection came up, to whoever listened there.

Change: an attempt carries whether the process that it is meant for is still the listed one.

--- a/crates/router/src/decider/dispatcher.rs
+++ b/crates/router/src/decider/dispatcher.rs
@@ -166,6 +166,7 @@
             fill: fill.clone(),
             is_non_idempotent: request.is_non_idempotent,
             cancellation: request.cancellation.clone(),
+            incarnation: self.servers.incarnation(server),
             deadline: self.clock.instant(self.now + limits.duration),
             send_by: self.clock.instant(self.now + limits.send_within),
             reservation: reservation.clone(),
--- a/crates/router/src/decider/servers.rs
+++ b/crates/router/src/decider/servers.rs
@@ -1,6 +1,6 @@
 //! The listed servers: the address of each, and the mailbox of its actor if one is running.
 
-use crate::messages::ServerCommand;
+use crate::messages::{CancellationFlag, ServerCommand};
 use crate::server_pool::ServerActorFactory;
 use chalkhall::interface::Id;
 use std::collections::{HashMap, HashSet};
@@ -16,6 +16,19 @@
     address: SocketAddr,
     started_at: Option<Duration>,
     max_connections: usize,
+    /// Active as long as the address and the start time stay as they are.
+    incarnation: CancellationFlag,
+}
+
+impl ServerHandle {
+    /// Ends the attempts that have not started.
+    fn end(self) {
+        self.incarnation.cancel();
+        if let Some(commands) = self.commands {
+            // If the mailbox is full, they end before their first byte is sent.
+            let _ = commands.try_send(ServerCommand::Removed);
+        }
+    }
 }
 
 /// The entry of a server in the list.
@@ -48,6 +61,15 @@
         self.handles.get(server).map(|handle| handle.address)
     }
 
+    /// Whether the process of a listed server is still the one that attempts are meant for now. An
+    /// attempt at a server that is not listed never starts.
+    pub(super) fn incarnation(&self, server: &Id) -> CancellationFlag {
+        let handle = self.handles.get(server);
+        handle.map_or_else(CancellationFlag::default, |handle| {
+            handle.incarnation.clone()
+        })
+    }
+
     /// Returns the mailbox of a listed server's actor, which is started if none is running.
     pub(super) fn commands_to(&mut self, server: &Id) -> Option<mpsc::Sender<ServerCommand>> {
         let handle = self.handles.get_mut(server)?;
@@ -85,11 +107,13 @@
                 address,
                 started_at,
                 max_connections,
+                incarnation: CancellationFlag::default(),
             });
         if (handle.address, handle.started_at) == (address, started_at) {
             return;
         }
         (handle.address, handle.started_at) = (address, started_at);
+        std::mem::take(&mut handle.incarnation).cancel();
         // An actor whose mailbox is full would keep the old address, or connections from before the
         // restart. Its mailbox is dropped: it stops after its open attempts, and the next command
         // starts another actor.
@@ -104,13 +128,18 @@
         handle.commands.take_if(|commands| !is_notified(commands));
     }
 
-    /// Removes a server. Its actor stops once its open attempts have ended.
+    /// Removes a server. Its actor stops once its open attempts have ended; those that have not
+    /// started end at once, as the process of another server may be at the address now.
     pub(super) fn remove(&mut self, server: &Id) {
-        self.handles.remove(server);
+        if let Some(handle) = self.handles.remove(server) {
+            handle.end();
+        }
     }
 
+    /// Removes the servers that are not listed.
     pub(super) fn retain(&mut self, listed: &HashSet<&Id>) {
-        self.handles.retain(|name, _| listed.contains(name));
+        let removed = self.handles.extract_if(|name, _| !listed.contains(name));
+        removed.for_each(|(_, handle)| handle.end());
     }
 
     /// The number of servers with a running actor.
--- a/crates/router/src/decider/servers/tests.rs
+++ b/crates/router/src/decider/servers/tests.rs
@@ -66,6 +66,7 @@
         fill,
         is_non_idempotent: true,
         cancellation,
+        incarnation: CancellationFlag::default(),
         deadline: expires_at,
         send_by: expires_at,
         reservation: no_reservation(),
--- a/crates/router/src/decider/tests.rs
+++ b/crates/router/src/decider/tests.rs
@@ -88,6 +88,7 @@
         fill,
         is_non_idempotent: true,
         cancellation: CancellationFlag::default(),
+        incarnation: CancellationFlag::default(),
         deadline: expires_at,
         send_by: expires_at,
         reservation: no_reservation(),
--- a/crates/router/src/messages.rs
+++ b/crates/router/src/messages.rs
@@ -55,10 +55,11 @@
     pub cancellation: CancellationFlag,
 }
 
-/// Whether a request still waits for its final answer.
+/// Whether a request still waits for its final answer, or the process of a server is still the one
+/// that its attempts are meant for.
 ///
 /// The client connection and the decider end it; a server connection reads it immediately before it
-/// sends the first byte of an attempt. It is the only state that tasks share: a cancellation sent
+/// sends the first byte of an attempt. It is the only state that these tasks share: a cancellation sent
 /// through the channels between them could arrive after that byte, or not at all if a channel is
 /// full.
 #[derive(Clone, Debug)]
@@ -71,12 +72,12 @@
 }
 
 impl CancellationFlag {
-    /// Marks the request as answered or cancelled: no further attempt may start.
+    /// Marks the request as answered or cancelled, or the process as gone: no attempt may start.
     pub fn cancel(&self) {
         self.0.set(false);
     }
 
-    /// Whether the request still waits for its final answer.
+    /// Whether an attempt may start.
     pub fn is_active(&self) -> bool {
         self.0.get()
     }
@@ -173,6 +174,9 @@
     pub is_non_idempotent: bool,
     /// Whether the request still waits for its final answer.
     pub cancellation: CancellationFlag,
+    /// Whether the server's process is still the one that the attempt is meant for. After the
+    /// server has left, moved or started again, another process may be at its address.
+    pub incarnation: CancellationFlag,
     /// The attempt times out at this time.
     pub deadline: Instant,
     /// The attempt is not sent unless its first byte is sent before this time.
@@ -194,12 +198,16 @@
 pub enum ConnectionCommand {
     Send(Box<AttemptRequest>),
     Cancel(AttemptId),
+    /// Attempts that may not start any more end now.
+    Expire,
 }
 
 /// A command or an event for the actor of a server.
 pub enum ServerCommand {
     Send(Box<AttemptRequest>),
     Cancel(AttemptId),
+    /// The server is not listed any more. Attempts that have started run on.
+    Removed,
     /// The endpoint list has a new start time or address of the server: older connections are
     /// retired.
     Reconnect {
--- a/crates/router/src/messages/fixtures.rs
+++ b/crates/router/src/messages/fixtures.rs
@@ -34,6 +34,7 @@
         fill: no_fill(),
         is_non_idempotent: false,
         cancellation: CancellationFlag::default(),
+        incarnation: CancellationFlag::default(),
         deadline: now + timeout,
         send_by: now + send_within,
         reservation: no_reservation(),
--- a/crates/router/src/server_connection/attempts.rs
+++ b/crates/router/src/server_connection/attempts.rs
@@ -58,6 +58,7 @@
         match command {
             ConnectionCommand::Send(request) => self.queued.push_back(request),
             ConnectionCommand::Cancel(attempt) => self.cancel(now, &attempt),
+            ConnectionCommand::Expire => self.expire(now),
         }
     }
 
@@ -139,12 +140,14 @@
     }
 
     /// Ends the attempts that are past their deadline, and the unsent ones that are past their time
-    /// to be sent or whose request is no longer awaited.
+    /// to be sent, whose request is no longer awaited or whose server's process has gone.
     pub(super) fn expire(&mut self, now: Instant) {
         // Sent later, an attempt could reach a server after the grace period of a drain or a purge,
         // or run for a client that has left or already has its answer.
         self.withdraw_unsent(|request| {
-            now >= request.deadline.min(request.send_by) || !request.cancellation.is_active()
+            now >= request.deadline.min(request.send_by)
+                || !request.cancellation.is_active()
+                || !request.incarnation.is_active()
         });
         while let Some(id) = self.find_in_flight(|in_flight| now >= in_flight.deadline) {
             self.abandon(now, &id, Outcome::TimedOut);
--- a/crates/router/src/server_pool.rs
+++ b/crates/router/src/server_pool.rs
@@ -157,6 +157,7 @@
         match command {
             ServerCommand::Send(request) => self.send(request).await,
             ServerCommand::Cancel(attempt) => self.cancel(attempt),
+            ServerCommand::Removed => self.pool.expire_unsent(),
             ServerCommand::Reconnect {
                 address,
                 started_at,
@@ -209,6 +210,7 @@
         self.pool.retire_if(|connection| {
             has_moved || started_at.is_some_and(|started_at| connection.created_at < started_at)
         });
+        self.pool.expire_unsent();
     }
 
     async fn handle_connection_event(&mut self, number: u64, event: ConnectionEvent) {
--- a/crates/router/src/server_pool/connection_pool.rs
+++ b/crates/router/src/server_pool/connection_pool.rs
@@ -2,7 +2,7 @@
 
 use super::pooled_connection::{ConnectionState, PooledConnection};
 use crate::backoff::Backoff;
-use crate::messages::AttemptId;
+use crate::messages::{AttemptId, ConnectionCommand};
 use chalkhall::interface::Id;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -107,6 +107,14 @@
             .for_each(PooledConnection::retire);
     }
 
+    /// Lets all connections end the attempts that may not start any more. A connection whose mailbox
+    /// is full does so when it next writes or a deadline passes.
+    pub(super) fn expire_unsent(&self) {
+        for connection in &self.connections {
+            let _ = connection.commands.try_send(ConnectionCommand::Expire);
+        }
+    }
+
     /// Returns the connection with this number, unless it is closed.
     pub(super) fn connection_mut(&mut self, number: u64) -> Option<&mut PooledConnection> {
         self.connections
--- a/crates/router/tests/program/server_connections.rs
+++ b/crates/router/tests/program/server_connections.rs
@@ -5,6 +5,9 @@
 use std::io::Read;
 use std::time::{Duration, Instant};
 
+/// A grace of drains and purges that is longer than a test takes.
+const LONG_GRACE_MS: u64 = 5000;
+
 #[test]
 fn a_response_that_stalls_has_its_connections_requests_retried_elsewhere() {
     let (environment, _router, mut client) = start_router_in(
@@ -148,6 +151,39 @@
     );
 }
 
+/// Guards against work that another process gets: an attempt that waited for its connection was
+/// kept for the whole grace although its server had left, and was sent to the process that came up
+/// at the server's address meanwhile.
+#[test]
+fn an_attempt_is_not_kept_for_the_process_that_replaces_its_server() {
+    let environment = TestEnvironment::new()
+        .with_setting("Limits", "ConnectTimeout", 9000)
+        .with_setting("Obligations", "DrainGrace", LONG_GRACE_MS)
+        .with_setting("FamilyInfo", "ObeyAfter", LONG_GRACE_MS);
+    let discovery = RunningDiscovery::start(&environment.discovery);
+    let (environment, _router, mut client) = start_router_in(environment);
+    wait_until("discovery", || discovery.has_sent_heartbeat());
+    let old = environment.server("o1");
+    let _queued = old.fill_accept_queue();
+    client.send_request(1, "confirm", "", b"");
+    assert_eq!(client.health(), "GREEN");
+    // o1 leaves. Another server, which drains, comes up at its address.
+    let mut new = old.entry("leaving");
+    new["host"] = "o2".into();
+    let replaced_at = Instant::now();
+    discovery.publish(2, endpoints_event(2, &[old.entry("left"), new]));
+    // The attempt was never sent, so the request may be sent to another server.
+    let mut server = environment.server("c1").accept();
+    let request = server.read_request();
+    let waited = replaced_at.elapsed();
+    assert!(
+        waited < Duration::from_millis(LONG_GRACE_MS / 2),
+        "{waited:?}"
+    );
+    server.respond(&request, "OK", "tell=via_origin", b"done");
+    assert_eq!(client.read_answer_word(), "ACK");
+}
+
 #[test]
 fn a_non_idempotent_request_never_uses_an_idle_connection() {
     let (environment, _router, mut client) = start_router();
