An id that may have run is not sent again after its client has left

Seen: operators report that an id ran twice when it came again after its client had left. Reproduced against a router process: the origin is asked a second time.

Cause: an id is refused while its request is open, which ends as soon as the attempt of a client that has left is called off. Whether the server ran it is unknown.

Which outcomes leave that open stands at Outcome::may_have_run, which the routing logic uses as well.

--- a/crates/router/src/decider.rs
+++ b/crates/router/src/decider.rs
@@ -5,6 +5,7 @@
 //! - `admission`: admission of new requests
 //! - `attempt_results`: results of attempts
 //! - `discovery_updates`: server list changes, purges, cell maps and drained zones
+//! - `executed_ids`: ids of requests that must not run again
 //! - `dispatcher`: executes the actions of the routing logic
 //! - `requests`: the table of open requests
 //! - `servers`: the listed servers and their actors
@@ -17,6 +18,7 @@
 mod discovery_updates;
 mod dispatcher;
 mod event_loop;
+mod executed_ids;
 mod memory_account;
 mod operator_queries;
 mod requests;
@@ -39,6 +41,7 @@
 use chalkhall::control::Router;
 use chalkhall::interface::{Class, Deployment, Effect, Member};
 use dispatcher::{Dispatcher, FinalOutcome};
+use executed_ids::ExecutedIds;
 use memory_account::MemoryAccount;
 use requests::RequestTable;
 use servers::ServerHandles;
@@ -77,6 +80,9 @@
     slow_start_window: Duration,
     limits: Limits,
     is_non_idempotent_class: Vec<bool>,
+    /// Whether the requests of a class may run any number of times.
+    is_idempotent_class: Vec<bool>,
+    executed_ids: ExecutedIds,
     phase: watch::Sender<Phase>,
     max_deadline: Duration,
     max_retry_after: Option<Duration>,
@@ -128,6 +134,11 @@
             zone_failover,
             slow_start_window: deployment.cold_cache.warm_up_time,
             is_non_idempotent_class: classes.clone().map(is_non_idempotent).collect(),
+            is_idempotent_class: classes
+                .clone()
+                .map(|class| class.effect == Effect::Idempotent)
+                .collect(),
+            executed_ids: ExecutedIds::default(),
             limits,
             phase,
             max_deadline: classes
--- a/crates/router/src/decider/admission.rs
+++ b/crates/router/src/decider/admission.rs
@@ -53,6 +53,11 @@
                 .log("request refused: its id is in use by an open request");
             return Err(FinalAnswer::Failed);
         }
+        if self.executed_ids.contains(&arrival.id) {
+            self.protocol_errors
+                .log("request refused: an earlier one with its id may have run");
+            return Err(FinalAnswer::Failed);
+        }
         let rejected = FinalAnswer::Rejected(self.router.retry_after);
         if !self.has_capacity(arrival, body_bytes) {
             return Err(rejected);
--- a/crates/router/src/decider/attempt_results.rs
+++ b/crates/router/src/decider/attempt_results.rs
@@ -32,6 +32,7 @@
             self.process_answer(&id, &attempt, answer, &mut result);
         }
         if attempt.is_at_server {
+            self.record_execution(&id, outcome);
             self.report_attempt(&id, &attempt, &result);
         }
         let request = self.dispatcher.requests.get(&id);
@@ -103,6 +104,17 @@
         });
     }
 
+    /// Remembers the id of a request that must not run again, if this attempt may have run.
+    fn record_execution(&mut self, id: &Id, outcome: Outcome) {
+        let request = self.dispatcher.requests.get(id);
+        let Some(request) = request.filter(|_| outcome.may_have_run()) else {
+            return;
+        };
+        if self.is_idempotent_class.get(request.arrival.class) == Some(&false) {
+            self.executed_ids.record(id);
+        }
+    }
+
     /// Reports the result of an attempt at a listed server to cell routing and zone failover.
     fn report_attempt(
         &mut self,
--- a/crates/router/tests/program/cancellation.rs
+++ b/crates/router/tests/program/cancellation.rs
@@ -205,3 +205,25 @@
 fn request_fields(tag: u64) -> Vec<u8> {
     format!("i={:016x},o={tag:016x},lot=1,m=1,d=4000", 0xabc_0000 + tag).into_bytes()
 }
+
+/// Guards against an effect that happens twice: the id of a request was forgotten as soon as its
+/// client had left, and ran again when it came again.
+#[test]
+fn an_id_that_may_have_run_does_not_run_again_after_its_client_left() {
+    let (environment, router, mut client) = start_router();
+    let fields = format!("i={},o=00000000000000b1,lot=1,m=1,d=4000", new_id());
+    client.send_raw_request(1, "confirm", &fields, b"");
+    let mut server = environment.server("o1").accept();
+    let request = server.read_request();
+    drop(client);
+    // The cancellation shows that the attempt has ended at the router.
+    assert_eq!(server.read_line(), format!("QUIT {}", request.id));
+    let mut client = router.connect();
+    client.send_raw_request(1, "confirm", &fields, b"");
+    assert_eq!(client.read_answer_word(), "FAIL");
+    assert!(!server.has_unread_data());
+    for server in &environment.servers {
+        let name = &server.name;
+        assert!(server.try_accept().is_none(), "{name} was asked again");
+    }
+}
--- a/src/completion.rs
+++ b/src/completion.rs
@@ -159,7 +159,7 @@
         let Some(request) = self.requests.get_mut(id) else {
             return;
         };
-        let may_have_executed = matches!(result.outcome, Error | TimedOut | Broken | Cancelled);
+        let may_have_executed = result.outcome != Served && result.outcome.may_have_run();
         if may_have_executed && request.possible_execution.is_none() && !route.is_local() {
             request.possible_execution = Some(PossibleExecution {
                 sent_at: completion.sent_at,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -304,6 +304,14 @@
     Missing,
 }
 
+impl Outcome {
+    /// Whether the request may have been executed.
+    pub fn may_have_run(self) -> bool {
+        use Outcome::{Broken, Cancelled, Error, Served, TimedOut};
+        matches!(self, Served | Error | TimedOut | Broken | Cancelled)
+    }
+}
+
 /// What an answer reports of the copy or the fill.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Remark {
