A client that sends without a pause lets other tasks run after each read

Seen: operators report that other clients got their answers late or never while one client sent small or unsound requests at full speed. Reproduced with one flooding connection against a router process (unoptimised build, 32 MB): 23 to 31 answers in two seconds for a usual client, the slowest after 140 to 198 ms. Memory did not grow: 2 MB, also with ever new ids and objects.

Cause: a connection that finds bytes at each read never waits, so that it read up to 128 times 8 KB before any other task ran.

Change: after each read whose messages have been handled the connection yields.

The new test of the connection counted 1 turn of other tasks in 12 reads before, and passes. The loads stand as program tests with a bound of the usual client's time; these passed before as well.

--- a/crates/router/src/client_connection.rs
+++ b/crates/router/src/client_connection.rs
@@ -37,6 +37,7 @@
 use std::time::Duration;
 use tokio::net::{TcpStream, tcp::WriteHalf};
 use tokio::sync::{mpsc, watch};
+use tokio::task::yield_now;
 use tokio::time::Instant;
 use write_buffer::{CHUNKS_PER_RESPONSE, WriteBuffer};
 
@@ -291,6 +292,8 @@
                     return Err(CloseReason::ClosedByClient);
                 }
                 self.handle_messages(read_buffer, unread_for).await?;
+                // Otherwise a client that sends without a pause would keep all others waiting.
+                yield_now().await;
             }
             Event::BodyMemory(permit) => self.end_body_wait(read_buffer, permit).await?,
             Event::MemoryShortage => self.give_way(read_buffer),
--- a/crates/router/src/client_connection/tests.rs
+++ b/crates/router/src/client_connection/tests.rs
@@ -364,3 +364,36 @@
     };
     LocalSet::new().run_until(inside).await;
 }
+
+/// Messages that a client has sent without a pause, several times as much as is read at a time.
+const UNPAUSED_BYTES: usize = 96 * 1024;
+
+/// Guards against clients that wait for long: the connection of one that sent without a pause read
+/// on and on before any other task ran.
+#[tokio::test(flavor = "current_thread")]
+async fn other_tasks_run_between_the_reads_from_a_client_that_sends_without_a_pause() {
+    let inside = async {
+        let abort = message(&["ABORT", "1"]);
+        let mut received = abort.repeat(UNPAUSED_BYTES / abort.len());
+        received.extend(message(&["HEALTH", "2", ""]));
+        let turns = Rc::new(std::cell::Cell::new(0));
+        let counter = turns.clone();
+        tokio::task::spawn_local(async move {
+            loop {
+                counter.set(counter.get() + 1);
+                yield_now().await;
+            }
+        });
+        let harness = connect(Phase::Serving, &received).await;
+        turns.set(0);
+        // The answer to the health check, which is the last message.
+        assert_eq!(harness.peer.peek(&mut [0]).await.unwrap(), 1);
+        let reads = UNPAUSED_BYTES / read_buffer::READ_CHUNK_BYTES;
+        assert!(
+            turns.get() >= reads,
+            "{} turns in {reads} reads",
+            turns.get()
+        );
+    };
+    LocalSet::new().run_until(inside).await;
+}
--- a/crates/router/tests/program/main.rs
+++ b/crates/router/tests/program/main.rs
@@ -11,6 +11,7 @@
 mod descriptor_limits;
 mod discovery;
 mod fleet;
+mod floods;
 mod forwarding;
 mod incomplete_requests;
 mod local_cache;
