A connection asks whether its client has left before it handles a request

Seen: operators report requests that were sent on after their client had closed with much unread.

Change: before a request is handled the connection asks whether its client has closed its side. The wait for data begins before other tasks have their turn, so that it is one wait.

--- a/crates/router/src/client_connection.rs
+++ b/crates/router/src/client_connection.rs
@@ -31,13 +31,13 @@
 use chalkhall::interface::Id;
 use closing::{CloseReason, ProtocolViolation};
 use read_buffer::ReadBuffer;
+use requests::{ClientMessage, Command};
 use std::collections::HashMap;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpStream, tcp::WriteHalf};
 use tokio::sync::{mpsc, watch};
-use tokio::task::yield_now;
 use tokio::time::Instant;
 use write_buffer::{CHUNKS_PER_RESPONSE, WriteBuffer};
 
@@ -237,7 +237,9 @@
             ..
         } = &mut self.connection;
         if may_read {
-            read_buffer.wait.begin();
+            read_buffer.wait.begin_or_continue();
+        } else {
+            read_buffer.wait.end();
         }
         // Received data is read before a timeout is charged to the client: this process may be the
         // one that is late.
@@ -292,8 +294,7 @@
                     return Err(CloseReason::ClosedByClient);
                 }
                 self.handle_messages(read_buffer, unread_for).await?;
-                // Otherwise a client that sends without a pause would keep all others waiting.
-                yield_now().await;
+                read_buffer.let_other_tasks_run().await;
             }
             Event::BodyMemory(permit) => self.end_body_wait(read_buffer, permit).await?,
             Event::MemoryShortage => self.give_way(read_buffer),
@@ -323,7 +324,12 @@
         while let Some(frame) = read_buffer.next_frame()? {
             self.last_progress = Instant::now();
             self.has_received_message = true;
-            if let Err(reason) = self.handle_message(frame.into(), received_after).await {
+            let message = ClientMessage::from(frame);
+            if message.command == Command::Request && read_buffer.is_closed_by_client() {
+                // Nothing waits for its answer, however much of the stream is still unread.
+                return Err(CloseReason::ClosedByClient);
+            }
+            if let Err(reason) = self.handle_message(message, received_after).await {
                 self.reject_remaining(read_buffer);
                 return Err(reason);
             }
--- a/crates/router/src/client_connection/read_buffer.rs
+++ b/crates/router/src/client_connection/read_buffer.rs
@@ -4,10 +4,14 @@
 use crate::read_wait::ReadWait;
 use crate::retrying_stream::RetryingStream;
 use bytes::BytesMut;
+use std::future::Future;
 use std::io;
+use std::pin::pin;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::tcp::ReadHalf;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout};
 
 /// Size of the buffer reserved for reads.
@@ -103,6 +107,21 @@
         self.bytes = BytesMut::from(&self.bytes[..]);
     }
 
+    /// Lets other tasks run: a client that sends without a pause would keep all others waiting. The
+    /// wait for data begins before that, as it is read in the next turn of this task.
+    pub(super) async fn let_other_tasks_run(&mut self) {
+        self.wait.begin_or_continue();
+        yield_now().await;
+    }
+
+    /// Whether the client has closed its side, although bytes from before may still be unread.
+    pub(super) fn is_closed_by_client(&self) -> bool {
+        let readiness = pin!(self.reader.ready(Interest::READABLE));
+        let mut context = Context::from_waker(Waker::noop());
+        let readiness = readiness.poll(&mut context);
+        matches!(readiness, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
+
     /// Whether unread data arrives within `READABILITY_CHECK_TIMEOUT`.
     pub(super) async fn has_unread(&self) -> bool {
         timeout(READABILITY_CHECK_TIMEOUT, self.reader.readable())
--- a/crates/router/src/read_wait.rs
+++ b/crates/router/src/read_wait.rs
@@ -15,6 +15,7 @@
 pub struct ReadWait {
     last_wait_end: Instant,
     wait_start: Instant,
+    is_waiting: bool,
 }
 
 impl ReadWait {
@@ -25,17 +26,29 @@
         ReadWait {
             last_wait_end: scheduling_delay::unread_since().unwrap_or(now),
             wait_start: now,
+            is_waiting: false,
         }
     }
 
     /// Begins a wait for data.
     pub fn begin(&mut self) {
+        self.is_waiting = true;
         self.wait_start = Instant::now();
     }
 
-    /// Ends a wait. `unread_for` has to be called before.
+    /// Begins a wait for data, or continues the one that has begun.
+    pub fn begin_or_continue(&mut self) {
+        if !self.is_waiting {
+            self.begin();
+        }
+    }
+
+    /// Ends a wait, if one has begun. `unread_for` has to be called before.
     pub fn end(&mut self) {
-        self.last_wait_end = Instant::now();
+        if self.is_waiting {
+            self.is_waiting = false;
+            self.last_wait_end = Instant::now();
+        }
     }
 
     /// The longest time for which data that is read now, during the current wait, can have been
--- a/crates/router/tests/program/cancellation.rs
+++ b/crates/router/tests/program/cancellation.rs
@@ -227,3 +227,35 @@
         assert!(server.try_accept().is_none(), "{name} was asked again");
     }
 }
+
+/// Requests that a client has sent before it leaves, and the body of each. Together they are more
+/// than the router reads at a time, and less than the system holds for a connection.
+const UNREAD_WRITES: u64 = 8;
+const UNREAD_WRITE_BYTES: usize = 3000;
+
+/// Guards against requests that are sent on for a client that has left: its leaving was noticed only
+/// after everything before it had been read and handled.
+#[test]
+fn nothing_is_sent_for_a_client_that_left_with_much_unread() {
+    let (environment, router, mut client) = start_router();
+    assert_eq!(client.health(), "GREEN");
+    router.pause();
+    let body = body_of_length(UNREAD_WRITE_BYTES);
+    for tag in 1..=UNREAD_WRITES {
+        client.send_request(tag, "confirm", "", &body);
+    }
+    drop(client);
+    router.resume();
+    let mut other = router.connect();
+    other.send_request(1, "page", "", b"");
+    let mut cache = environment.server("c1").accept();
+    let request = cache.read_request();
+    assert_eq!(request.field("cls"), "page");
+    cache.respond(&request, "OK", HIT_FIELDS, b"");
+    assert_eq!(other.read_answer_word(), "ACK");
+    drop(router);
+    if let Some(mut connection) = environment.server("o1").try_accept() {
+        let line = connection.read_line();
+        assert!(!line.starts_with("ASK"), "{line}");
+    }
+}
--- a/crates/router/tests/program/floods.rs
+++ b/crates/router/tests/program/floods.rs
@@ -101,3 +101,46 @@
     check_flood(true, no_object);
     check_flood(false, no_object);
 }
+
+/// Clients may hold a third of the descriptors.
+const SOCKETS: u64 = 1024;
+const CLIENTS: usize = 330;
+
+/// Answers that nobody reads are bounded for each connection, and the sum of all is.
+#[test]
+fn hundreds_of_clients_that_read_no_answers_leave_memory_for_others() {
+    let environment = TestEnvironment::new()
+        .with_machine_limit("memory_mb", MEMORY_MB)
+        .with_machine_limit("sockets", SOCKETS);
+    let (environment, router, mut usual) = start_router_in(environment);
+    for server in &environment.servers {
+        answer_each_request(server.listener.try_clone().unwrap());
+    }
+    let mut clients: Vec<TcpStream> = Vec::new();
+    for _ in 0..CLIENTS {
+        let stream = TcpStream::connect(router.address()).unwrap();
+        socket2::SockRef::from(&stream)
+            .set_recv_buffer_size(4096)
+            .unwrap();
+        stream.set_nonblocking(true).unwrap();
+        clients.push(stream);
+    }
+    let (since, mut peak_kb, mut tag) = (Instant::now(), 0, 1);
+    while since.elapsed() < FLOOD {
+        let mut batch = Vec::new();
+        for number in tag..tag + BATCH {
+            batch.extend(frame(&[b"HEALTH", number.to_string().as_bytes(), b""]));
+        }
+        tag += BATCH;
+        for client in &mut clients {
+            // A partial write leaves a message that the next one breaks: that client is closed.
+            let _ = client.write(&batch);
+        }
+        peak_kb = peak_kb.max(router.anonymous_kb());
+        usual.send_request(tag, "page", "", b"");
+        let word = usual.read_answer_word();
+        assert!(word == "ACK" || word == "NAK", "{word}");
+    }
+    eprintln!("{} health checks for each client; {peak_kb} KB", tag - 1);
+    assert!(peak_kb < MEMORY_MB * 1024, "{peak_kb} KB of {MEMORY_MB} MB");
+}
--- a/crates/router/tests/program/incomplete_requests.rs
+++ b/crates/router/tests/program/incomplete_requests.rs
@@ -86,6 +86,20 @@
     )
 }
 
+/// Clients that have sent a write up to so many bytes of its body.
+fn clients_inside_a_write(router: &RouterProcess, sent_bytes: usize) -> Vec<TcpStream> {
+    let body = vec![b'x'; sent_bytes];
+    let connect = |number: usize| {
+        let mut stream = TcpStream::connect(router.address()).unwrap();
+        let head = head_of_write(number as u64 + 1);
+        stream.write_all(head.as_bytes()).unwrap();
+        // The router may refuse the rest.
+        let _ = stream.write_all(&body);
+        stream
+    };
+    (0..CLIENTS).map(connect).collect()
+}
+
 /// Checks that memory stays within the limit while this is done again and again.
 fn check_memory(router: &RouterProcess, mut work: impl FnMut()) {
     let since = Instant::now();
@@ -126,37 +140,16 @@
 #[test]
 fn hundreds_of_clients_that_stop_in_a_large_request_leave_memory_for_others() {
     let (_environment, router, mut usual) = small_router();
-    let body = vec![b'x'; SENT_BYTES];
-    let mut stopped: Vec<TcpStream> = (0..CLIENTS)
-        .map(|number| {
-            let mut stream = TcpStream::connect(router.address()).unwrap();
-            stream
-                .write_all(head_of_write(number as u64 + 1).as_bytes())
-                .unwrap();
-            // The router may refuse the rest.
-            let _ = stream.write_all(&body);
-            stream
-        })
-        .collect();
+    let stopped = clients_inside_a_write(&router, SENT_BYTES);
     check_memory_and_usual_client(&router, &mut usual);
-    stopped.clear();
+    drop(stopped);
 }
 
 /// The same while the rest comes a few bytes at a time.
 #[test]
 fn hundreds_of_clients_that_write_slowly_leave_memory_for_others() {
     let (_environment, router, mut usual) = small_router();
-    let body = vec![b'x'; SENT_BYTES / 2];
-    let mut slow: Vec<TcpStream> = (0..CLIENTS)
-        .map(|number| {
-            let mut stream = TcpStream::connect(router.address()).unwrap();
-            stream
-                .write_all(head_of_write(number as u64 + 1).as_bytes())
-                .unwrap();
-            let _ = stream.write_all(&body);
-            stream
-        })
-        .collect();
+    let mut slow = clients_inside_a_write(&router, SENT_BYTES / 2);
     let writer = std::thread::spawn(move || {
         for _ in 0..20 {
             for stream in &mut slow {
